--- /dev/null
+++ b/peer/framing.go
@@ -0,0 +1,30 @@
+package peer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// maxMessageBytes bounds one message; a batch of carried jobs is the largest.
+const maxMessageBytes = 8 << 20
+
+func readMessage(r io.Reader, message proto.Message) error {
+	options := protodelim.UnmarshalOptions{
+		MaxSize: maxMessageBytes,
+	}
+	if err := options.UnmarshalFrom(bufio.NewReader(r), message); err != nil {
+		return fmt.Errorf("read message: %w", err)
+	}
+	return nil
+}
+
+func writeMessage(w io.Writer, message proto.Message) error {
+	if _, err := protodelim.MarshalTo(w, message); err != nil {
+		return fmt.Errorf("write message: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/yamux"
+
+	"radishpath.example/radishpath/peer/peerpb"
+)
+
+// HandleFunc answers one request. It must not return nil.
+type HandleFunc func(ctx context.Context, request *peerpb.Request) *peerpb.Reply
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Logger hclog.Logger
+	Handle HandleFunc
+	// TLS turns on mutual TLS; nil means plain TCP.
+	TLS *tls.Config
+}
+
+// Server answers calls from other processes.
+type Server struct {
+	config ServerConfig
+}
+
+// NewServer returns a Server.
+func NewServer(config ServerConfig) *Server {
+	if config.Logger == nil {
+		config.Logger = hclog.NewNullLogger()
+	}
+	return &Server{
+		config: config,
+	}
+}
+
+// Serve accepts connections until ctx ends, then closes them and waits for the handlers.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	if s.config.TLS != nil {
+		listener = tls.NewListener(listener, s.config.TLS)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	var sessions sync.WaitGroup
+	defer sessions.Wait()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept on %s: %w", listener.Addr(), err)
+		}
+		sessions.Go(func() { s.serveConn(ctx, conn) })
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	session, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		s.config.Logger.Warn("open session", "remote", conn.RemoteAddr(), "error", err)
+		_ = conn.Close()
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	defer func() { _ = session.Close() }()
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for {
+		stream, err := session.AcceptStreamWithContext(ctx)
+		if err != nil {
+			return
+		}
+		streams.Go(func() { s.serveStream(ctx, stream) })
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, stream net.Conn) {
+	defer func() { _ = stream.Close() }()
+	request := &peerpb.Request{}
+	if err := readMessage(stream, request); err != nil {
+		s.config.Logger.Warn("read request", "error", err)
+		return
+	}
+	if err := writeMessage(stream, s.config.Handle(ctx, request)); err != nil {
+		s.config.Logger.Warn("write reply", "error", err)
+	}
+}
+
+// muxConfig turns yamux's keepalive off: every process sends heartbeats of its own, and a keepalive would hide a
+// peer that is paused from the callers' time limits.
+func muxConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.EnableKeepAlive = false
+	config.LogOutput = io.Discard
+	config.StreamOpenTimeout = 0
+	config.StreamCloseTimeout = 30 * time.Second
+	config.ConnectionWriteTimeout = 2 * time.Second
+	return config
+}
