Add the entry's membership, freshness, succession, placer and job runners

Cause: the thin path needs an owner of jobs and a placer. Change: package entry without its wiring; Forget says whether the owner asks again.

--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"radishpath.example/radishpath/peer/peerpb"
+)
+
+const (
+	// placerSilence replaces a silent placer early enough for urgent work to start within 1.3 s.
+	placerSilence = 700 * time.Millisecond
+	// ownerSilence is longer than placerSilence because adoption costs an append per job.
+	ownerSilence = 2 * time.Second
+	// pruneSilence drops instances that were replaced from the majority count. It exceeds every partition that
+	// is expected while the log stays readable on both sides for so long only by accident.
+	pruneSilence = 10 * time.Minute
+)
+
+// member is what an entry knows of another one.
+type member struct {
+	info *peerpb.EntryInfo
+	// heard is when the last message from it arrived.
+	heard time.Time
+	// asked is when the call behind reply was made.
+	asked time.Time
+	reply *peerpb.Heartbeat
+}
+
+// members is the set of known entries, this one excluded.
+type members struct {
+	mu      sync.Mutex
+	self    string
+	started time.Time
+	known   map[string]*member
+}
+
+func newMembers(self string, started time.Time, seeds []*peerpb.EntryInfo) *members {
+	m := &members{
+		self:    self,
+		started: started,
+		known:   map[string]*member{},
+	}
+	for _, seed := range seeds {
+		m.learn(seed)
+	}
+	return m
+}
+
+// address returns where an entry listens.
+func (m *members) address(id string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.known[id]
+	if !ok {
+		return "", false
+	}
+	return known.info.GetAddress(), true
+}
+
+// isAlive says whether an entry was heard within the limit. Before the process has run for the limit itself, an
+// entry that was never heard counts as alive, so that a newcomer does not take over from everybody.
+func (m *members) isAlive(id string, now time.Time, limit time.Duration) bool {
+	if id == m.self {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	heard := m.started
+	if known, ok := m.known[id]; ok && known.heard.After(heard) {
+		heard = known.heard
+	}
+	return now.Sub(heard) <= limit
+}
+
+// learn adds an entry or its new address.
+func (m *members) learn(info *peerpb.EntryInfo) {
+	if info.GetId() == "" || info.GetId() == m.self || info.GetAddress() == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.known[info.GetId()]
+	if !ok {
+		known = &member{}
+		m.known[info.GetId()] = known
+	}
+	known.info = info
+}
+
+// list returns the known entries by id.
+func (m *members) list() []member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]member, 0, len(m.known))
+	for _, known := range m.known {
+		all = append(all, *known)
+	}
+	slices.SortFunc(all, func(a, b member) int {
+		return strings.Compare(a.info.GetId(), b.info.GetId())
+	})
+	return all
+}
+
+// observe records a message. asked is zero unless the message answers a call of this process.
+func (m *members) observe(beat *peerpb.Heartbeat, asked, now time.Time) {
+	m.learn(beat.GetSender())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.known[beat.GetSender().GetId()]
+	if !ok {
+		return
+	}
+	if beat.GetLeaving() {
+		delete(m.known, beat.GetSender().GetId())
+		return
+	}
+	known.heard = now
+	if !asked.IsZero() {
+		known.asked = asked
+		known.reply = beat
+	}
+}
+
+// prune drops entries that were silent for pruneSilence.
+func (m *members) prune(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, known := range m.known {
+		heard := known.heard
+		if heard.Before(m.started) {
+			heard = m.started
+		}
+		if now.Sub(heard) > pruneSilence {
+			delete(m.known, id)
+		}
+	}
+}
--- /dev/null
+++ b/entry/placer.go
@@ -0,0 +1,366 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"radishpath.example/radishpath/peer/peerpb"
+	"radishpath.example/radishpath/placement"
+)
+
+const (
+	placerInterval = 100 * time.Millisecond
+	// holdLimit is how long an agent keeps a reservation that is not committed.
+	holdLimit = 3 * time.Second
+	// unseenLimit is how long a placed job may be missing from all announcements: the hold's limit and two of them.
+	unseenLimit = holdLimit + 2*time.Second
+	// pollLimit drops a queued job whose owner stopped asking for it.
+	pollLimit = 5 * time.Second
+)
+
+// placeWait is an owner's wait for a reservation.
+type placeWait struct {
+	request *peerpb.Place
+	result  chan *peerpb.PlaceReply
+	// polled is when the owner last asked.
+	polled time.Time
+}
+
+// placedJob is a job that the scheduler has placed.
+type placedJob struct {
+	attempt *peerpb.Attempt
+	members []*peerpb.Member
+	// seen is when it was placed or last announced.
+	seen time.Time
+}
+
+// placer decides where gang jobs run while this entry holds the highest term.
+type placer struct {
+	entry *Entry
+	kicks chan struct{}
+
+	mu sync.Mutex
+	// scheduler is nil while another entry is the placer.
+	scheduler *placement.Scheduler
+	term      *peerpb.Term
+	revision  int64
+	workers   map[string]placement.Worker
+	waits     map[string]*placeWait
+	placed    map[string]*placedJob
+}
+
+func newPlacer(e *Entry) *placer {
+	return &placer{
+		entry: e,
+		kicks: make(chan struct{}, 1),
+	}
+}
+
+// explain says why a job waits.
+func (p *placer) explain(job string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.scheduler == nil {
+		return nil
+	}
+	return p.scheduler.Explain(job)
+}
+
+// forget takes a job's end from its owner.
+func (p *placer) forget(forget *peerpb.Forget) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.scheduler == nil {
+		return
+	}
+	p.endLocked(forget)
+	p.kick()
+}
+
+func (p *placer) endLocked(forget *peerpb.Forget) {
+	now := p.entry.config.Clock.Now()
+	job := forget.GetJob()
+	if _, ok := p.placed[job]; ok {
+		p.scheduler.Ended(now, job, placement.Result{
+			OK:           forget.GetOk(),
+			FailedWorker: forget.GetAgent(),
+			Reason:       forget.GetReason(),
+		})
+		delete(p.placed, job)
+	}
+	if !forget.GetOk() && !forget.GetAgain() {
+		p.scheduler.Cancel(now, job)
+		delete(p.waits, job)
+	}
+}
+
+// kick asks for a decision soon.
+func (p *placer) kick() {
+	select {
+	case p.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// place queues a job and waits for its reservation, at most as long as the request says.
+func (p *placer) place(ctx context.Context, request *peerpb.Place) *peerpb.PlaceReply {
+	wait, reply := p.enqueue(request)
+	if reply != nil {
+		return reply
+	}
+	p.kick()
+	select {
+	case reply = <-wait.result:
+		return reply
+	case <-ctx.Done():
+	case <-p.entry.config.Clock.After(request.GetWait().AsDuration()):
+	}
+	select {
+	case reply = <-wait.result:
+		return reply
+	default:
+	}
+	return &peerpb.PlaceReply{
+		Reasons: p.explain(request.GetJob().GetId()),
+	}
+}
+
+// enqueue submits the job unless it is queued already; a reply says that there is nothing to wait for.
+func (p *placer) enqueue(request *peerpb.Place) (*placeWait, *peerpb.PlaceReply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.scheduler == nil {
+		return nil, &peerpb.PlaceReply{
+			Reasons: []string{"this entry is not the placer"},
+		}
+	}
+	id := request.GetJob().GetId()
+	now := p.entry.config.Clock.Now()
+	if placed, ok := p.placed[id]; ok {
+		if wait, waiting := p.waits[id]; waiting && compareAttempts(wait.request.GetAttempt(), request.GetAttempt()) == 0 {
+			// The same attempt is being reserved: the owner's earlier call timed out.
+			wait.polled = now
+			return wait, nil
+		}
+		p.entry.logger.Info("owner asks again for a placed job", "job", id, "attempt", attemptText(placed.attempt))
+		p.endLocked(&peerpb.Forget{
+			Job:   id,
+			Again: true,
+		})
+	}
+	wait, ok := p.waits[id]
+	if !ok {
+		if err := p.scheduler.Submit(now, placementJob(request.GetJob())); err != nil {
+			return nil, &peerpb.PlaceReply{
+				Impossible: true,
+				Reasons:    []string{err.Error()},
+			}
+		}
+		wait = &placeWait{
+			result: make(chan *peerpb.PlaceReply, 1),
+		}
+		p.waits[id] = wait
+	}
+	wait.request = request
+	wait.polled = now
+	return wait, nil
+}
+
+// run decides whenever something changed, at least every placerInterval.
+func (p *placer) run(ctx context.Context) error {
+	var holds sync.WaitGroup
+	defer holds.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.kicks:
+		case <-p.entry.config.Clock.After(placerInterval):
+		}
+		for _, step := range p.decide() {
+			holds.Go(func() { step(ctx) })
+		}
+	}
+}
+
+// decide brings the scheduler up to date and returns the steps to carry out.
+func (p *placer) decide() []func(context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.entry.config.Clock.Now()
+	if !p.syncTerm() {
+		return nil
+	}
+	p.syncPolicy()
+	p.syncWorkers(now)
+	p.syncTasks(now)
+	p.dropUnpolled(now)
+	var steps []func(context.Context)
+	for _, decided := range p.scheduler.Decide(now) {
+		if step := p.carryOut(now, decided); step != nil {
+			steps = append(steps, step)
+		}
+	}
+	return steps
+}
+
+// carryOut turns a decision into a step that runs without the lock.
+func (p *placer) carryOut(now time.Time, decided placement.Decision) func(context.Context) {
+	wait := p.waits[decided.Job]
+	switch decided.Kind {
+	case placement.Place:
+		return p.carryOutPlace(now, decided, wait)
+	case placement.Evict:
+		return p.carryOutEvict(decided)
+	case placement.Refuse:
+		p.write(decided, wait)
+		if wait != nil {
+			wait.result <- &peerpb.PlaceReply{
+				Impossible: true,
+				Reasons:    decided.Reasons,
+			}
+			delete(p.waits, decided.Job)
+		}
+	case placement.Wait:
+		p.write(decided, wait)
+	}
+	return nil
+}
+
+func (p *placer) carryOutPlace(now time.Time, decided placement.Decision, wait *placeWait) func(context.Context) {
+	members, ok := p.members(decided.Members)
+	if wait == nil || !ok {
+		p.scheduler.Ended(now, decided.Job, placement.Result{
+			Reason: "its owner or an agent is gone",
+		})
+		return nil
+	}
+	p.write(decided, wait)
+	p.placed[decided.Job] = &placedJob{
+		attempt: wait.request.GetAttempt(),
+		members: members,
+		seen:    now,
+	}
+	reservation := &peerpb.Reservation{
+		Attempt:  wait.request.GetAttempt(),
+		Members:  members,
+		Term:     p.term,
+		Borrowed: decided.Borrowed,
+	}
+	return func(ctx context.Context) { p.reserve(ctx, wait, reservation) }
+}
+
+func (p *placer) carryOutEvict(decided placement.Decision) func(context.Context) {
+	p.write(decided, p.waits[decided.Job])
+	placed, ok := p.placed[decided.Job]
+	if !ok {
+		return nil
+	}
+	run := p.gangRun(decided.Job, placed.attempt, placed.members)
+	return func(ctx context.Context) { run.evict(ctx, decided.Checkpoint, decided.Limit) }
+}
+
+// members looks up the agents of a placement.
+func (p *placer) members(assignments []placement.Assignment) ([]*peerpb.Member, bool) {
+	members := make([]*peerpb.Member, 0, len(assignments))
+	for _, assignment := range assignments {
+		view, ok := p.entry.fleet.get(assignment.Worker)
+		if !ok {
+			return nil, false
+		}
+		members = append(members, &peerpb.Member{
+			Agent:        view.id,
+			Address:      view.address,
+			Accelerators: assignment.Accelerators,
+		})
+	}
+	return members, true
+}
+
+// reserve holds every member and answers the owner, or gives all back.
+func (p *placer) reserve(ctx context.Context, wait *placeWait, reservation *peerpb.Reservation) {
+	job := wait.request.GetJob()
+	run := p.gangRun(job.GetId(), reservation.GetAttempt(), reservation.GetMembers())
+	result := run.all(ctx, func(ctx context.Context, member int32, at *peerpb.Member) (bool, string) {
+		verdict, err := p.entry.verdict(ctx, at.GetAddress(), &peerpb.Request{
+			Kind: &peerpb.Request_Hold{
+				Hold: &peerpb.Hold{
+					Term:         reservation.GetTerm(),
+					Job:          job,
+					Attempt:      reservation.GetAttempt(),
+					Member:       member,
+					Accelerators: at.GetAccelerators(),
+					Limit:        durationpb.New(holdLimit),
+				},
+			},
+		})
+		return judge(verdict, err)
+	})
+	reply := &peerpb.PlaceReply{
+		Reservation: reservation,
+	}
+	if result.first != "" {
+		p.entry.logger.Info("reservation failed", "job", job.GetId(), "reason", result.first)
+		run.release(ctx, false)
+		reply = &peerpb.PlaceReply{
+			Reasons: []string{"reservation failed: " + result.first},
+		}
+	}
+	p.finishReserve(wait, reply, result.first)
+}
+
+func (p *placer) finishReserve(wait *placeWait, reply *peerpb.PlaceReply, refusal string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	job := wait.request.GetJob().GetId()
+	if p.scheduler == nil || p.waits[job] != wait {
+		return
+	}
+	if refusal != "" {
+		// The owner's next attempt number supersedes what an agent may still hold of this one.
+		p.endLocked(&peerpb.Forget{
+			Job:    job,
+			Reason: refusal,
+		})
+		reply.Reservation = nil
+	}
+	wait.result <- reply
+	delete(p.waits, job)
+}
+
+// gangRun addresses the members of an attempt that this entry need not own.
+func (p *placer) gangRun(job string, attempt *peerpb.Attempt, members []*peerpb.Member) *gangRun {
+	return &gangRun{
+		runner: &runner{
+			entry: p.entry,
+			job: &peerpb.Job{
+				Id: job,
+			},
+		},
+		attempt: attempt,
+		members: members,
+	}
+}
+
+// write records a decision.
+func (p *placer) write(decided placement.Decision, wait *placeWait) {
+	agents := make([]string, 0, len(decided.Members))
+	for _, member := range decided.Members {
+		agents = append(agents, member.Worker)
+	}
+	line := decision{
+		Kind:    string(decided.Kind),
+		Job:     decided.Job,
+		Agents:  agents,
+		Reasons: decided.Reasons,
+	}
+	if wait != nil {
+		line.Workspace = wait.request.GetJob().GetWorkspace()
+		line.Generation = wait.request.GetAttempt().GetGeneration()
+		line.Count = wait.request.GetAttempt().GetCount()
+	}
+	p.entry.trace.write(line)
+}
