Add platform and backend clients and their test servers

Cause: the other packages need a log service, workers and backend servers to talk to, and clients with the signatures of docs/design.md section 9.

Change: package rest makes the HTTP calls and separates calls that were not carried out from calls with an unknown outcome; platform and backend build on it. standin has commands log and worker with logserver and workerserver.

--- /dev/null
+++ b/standin/workerserver/payload.go
@@ -0,0 +1,48 @@
+package workerserver
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"radishpath.example/radishpath/rest"
+)
+
+// Payload is what a task or request does.
+type Payload struct {
+	// Work is how long it runs.
+	Work rest.Duration `json:"work,omitempty"`
+	// Answer is the answer, or the reason if it fails.
+	Answer string `json:"answer,omitempty"`
+	Fail   bool   `json:"fail,omitempty"`
+}
+
+func parsePayload(text []byte) (Payload, error) {
+	payload := Payload{}
+	if len(text) == 0 {
+		return payload, nil
+	}
+	if err := json.Unmarshal(text, &payload); err != nil {
+		return Payload{}, fmt.Errorf("decode payload: %w", err)
+	}
+	return payload, nil
+}
+
+func (p Payload) work() time.Duration {
+	return time.Duration(p.Work)
+}
+
+// failedWorker is the payload of everything that a worker runs while it fails all work.
+func failedWorker() Payload {
+	return Payload{
+		Answer: "worker fails all work",
+		Fail:   true,
+	}
+}
+
+func (p Payload) reason() string {
+	if p.Answer != "" {
+		return p.Answer
+	}
+	return "payload fails"
+}
