--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,17 @@
+// Package settings reads the INI settings of the processes and checks them before anything starts, all findings at
+// once. docs/configuration.md describes the sections and keys.
+//
+// # Usage
+//
+// ParseEntry and ParseAgent are pure. ReadEntry and ReadAgent read the file through a System:
+//
+//	entry, err := settings.ReadEntry(settings.NewRealSystem(), "entry.ini")
+//	var findings settings.Findings
+//	if errors.As(err, &findings) { ... }
+//
+// Credentials holds the files of mutual TLS and reads them again when they change:
+//
+//	credentials, err := settings.NewCredentials(settings.NewRealSystem(), entry.TLS)
+//	server := peer.NewServer(peer.ServerConfig{TLS: credentials.Server()})
+//	pool := peer.NewPool(peer.PoolConfig{TLS: credentials.Client()})
+package settings
