Add job ownership, adoption and submission to the entry

Cause: accepted jobs need an owner that records, hands over and ends them. Change: runners for requests and gangs, adoption, handover, ends shared while the log is unavailable. Measured: nothing yet; the package waits for caller and routing.

--- a/entry/gangs.go
+++ b/entry/gangs.go
@@ -59,6 +59,7 @@
 		}
 	}
 	for ctx.Err() == nil {
+		r.movable.Store(true)
 		if r.endUnstarted(ctx) {
 			r.forget(ctx, &peerpb.Forget{})
 			return
@@ -122,6 +123,10 @@
 // attemptGang commits, starts and watches one attempt. It returns true when the job has ended or is not ours any more.
 func (r *runner) attemptGang(ctx context.Context, run *gangRun) bool {
 	agents := run.agents()
+	r.movable.Store(false)
+	if r.entry.owner.isDraining() {
+		return r.abandon(ctx, run, "the entry is leaving")
+	}
 	if !r.start(ctx, agents) {
 		run.release(ctx, false)
 		if r.isSuperseded() {
@@ -417,6 +422,7 @@
 			g.record(report)
 		case <-ticker.Chan():
 			g.findLost()
+			g.runner.movable.Store(g.isAnnounced())
 		case <-cancelled:
 			cancelled = nil
 			g.release(ctx, false)
@@ -440,6 +446,17 @@
 	return false
 }
 
+// isAnnounced says whether the agents announce every member, so that another entry could find the gang.
+func (g *gangRun) isAnnounced() bool {
+	found := map[int32]bool{}
+	for _, placed := range g.runner.entry.fleet.tasksOf(g.runner.job.GetId()) {
+		if compareAttempts(placed.task.GetAttempt(), g.attempt) == 0 && !placed.task.GetHold() {
+			found[placed.task.GetMember()] = true
+		}
+	}
+	return len(found) == len(g.members)
+}
+
 // findLost marks members that nobody announces any more.
 func (g *gangRun) findLost() {
 	now := g.runner.entry.config.Clock.Now()
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"radishpath.example/radishpath/journal"
+	"radishpath.example/radishpath/ledger"
+	"radishpath.example/radishpath/peer/peerpb"
+	"radishpath.example/radishpath/platform"
+)
+
+const (
+	jobStream = "jobs"
+	// caughtUpLimit is how old the last complete read may be for a lookup to trust what is missing from the ledger.
+	caughtUpLimit = 2 * time.Second
+)
+
+// errVoid marks a record that is in the log and has no effect.
+var errVoid = errors.New("record has no effect")
+
+// jobs is this entry's view of the job stream and its writer.
+type jobs struct {
+	clock    clockwork.Clock
+	log      LogService
+	ledger   *ledger.Ledger
+	writer   *journal.Writer
+	follower *journal.Follower
+	// changes wakes those who wait for a job's state.
+	changes *signal
+}
+
+// newJobs returns jobs whose changes are passed to observe in the order of the log.
+func newJobs(config Config, observe func(offset int64, change ledger.Change)) *jobs {
+	j := &jobs{
+		clock:   config.Clock,
+		log:     config.Log,
+		ledger:  ledger.New(),
+		changes: newSignal(),
+	}
+	j.writer = journal.NewWriter(journal.WriterConfig{
+		Logger: config.Logger.Named("journal"),
+		Clock:  config.Clock,
+		ID:     fmt.Sprintf("%s-%d", config.ID, config.Clock.Now().UnixNano()),
+		Ledger: j.ledger,
+		Append: func(ctx context.Context, data []byte) (int64, error) {
+			return config.Log.Append(ctx, jobStream, data)
+		},
+		Rejected: func(err error) bool { return errors.Is(err, platform.ErrRejected) },
+	})
+	j.follower = journal.NewFollower(journal.FollowerConfig{
+		Logger: config.Logger.Named("journal"),
+		Clock:  config.Clock,
+		Ledger: j.ledger,
+		Read:   j.read,
+		Observe: func(offset int64, batch *peerpb.Batch, changes []ledger.Change) {
+			for _, change := range changes {
+				observe(offset, change)
+			}
+			j.writer.Observe(offset, batch, changes)
+			j.changes.notify()
+		},
+		Truncate: j.writer.Truncate,
+	})
+	return j
+}
+
+// append writes one record and returns when it was read back. Errors wrap errVoid when it has no effect,
+// journal.ErrNotAppended when it will never be in the log, and journal.ErrUnknown when it may be.
+func (j *jobs) append(ctx context.Context, record *peerpb.Record) error {
+	result, err := j.writer.Submit(ctx, record)
+	if err != nil {
+		return fmt.Errorf("append record: %w", err)
+	}
+	for _, change := range result.Changes {
+		if !change.Applied {
+			return fmt.Errorf("%w: %s", errVoid, change.Reason)
+		}
+	}
+	return nil
+}
+
+// isCaughtUp says whether the stream was read to its end once.
+func (j *jobs) isCaughtUp() bool {
+	return !j.follower.Status().Current.IsZero()
+}
+
+// isReadable says whether the log can be read now.
+func (j *jobs) isReadable() bool {
+	now := j.clock.Now()
+	status := j.follower.Status()
+	return status.Available(now) && now.Sub(status.Current) <= caughtUpLimit
+}
+
+// read adapts the log service to the follower.
+func (j *jobs) read(
+	ctx context.Context, from int64, limit int, wait time.Duration,
+) (first, next int64, records []journal.Record, err error) {
+	page, err := j.log.Read(ctx, jobStream, from, limit, wait)
+	if err != nil {
+		return 0, 0, nil, fmt.Errorf("read job stream: %w", err)
+	}
+	for _, record := range page.Records {
+		records = append(records, journal.Record{
+			Offset: record.Offset,
+			Data:   record.Data,
+		})
+	}
+	return page.First, page.Next, records, nil
+}
+
+// run writes and follows until ctx ends.
+func (j *jobs) run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	running := newGroup()
+	running.spawn(ctx, "writer", j.writer.Run)
+	running.spawn(ctx, "follower", j.follower.Run)
+	return running.wait(stop)
+}
+
+// state returns what the log says of a job.
+func (j *jobs) state(id string) (ledger.State, bool) {
+	return j.ledger.Job(id)
+}
+
+// wholeEnd returns a job's end with its answer's body, which is read from the log again if it was dropped from memory.
+func (j *jobs) wholeEnd(state ledger.State) *peerpb.End {
+	if !state.AnswerDropped {
+		return state.End
+	}
+	ctx, cancel := clockwork.WithTimeout(context.Background(), j.clock, readTimeout)
+	defer cancel()
+	page, err := j.log.Read(ctx, jobStream, state.EndOffset, 1, 0)
+	if err != nil || len(page.Records) == 0 || page.Records[0].Offset != state.EndOffset {
+		return state.End
+	}
+	batch := &peerpb.Batch{}
+	if err = proto.Unmarshal(page.Records[0].Data, batch); err != nil {
+		return state.End
+	}
+	for _, record := range batch.GetRecords() {
+		if end := record.GetEnd(); end.GetJob() == state.Job.GetId() {
+			return end
+		}
+	}
+	return state.End
+}
--- a/entry/members.go
+++ b/entry/members.go
@@ -138,3 +138,11 @@
 		}
 	}
 }
+
+// replace drops an entry whose address answers under another id.
+func (m *members) replace(id string, by *peerpb.EntryInfo) {
+	m.learn(by)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.known, id)
+}
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"radishpath.example/radishpath/ledger"
@@ -25,6 +26,10 @@
 	generation int64
 	// adopted says that another entry owned the job before, so that work of it may be running.
 	adopted bool
+	// direct says that the request has no accept record because the log is unavailable.
+	direct bool
+	// movable says that another entry could take the job over now.
+	movable atomic.Bool
 	reports chan *peerpb.Report
 	// cancelled is closed when a caller cancelled the job.
 	cancelled  chan struct{}
@@ -84,6 +89,10 @@
 func (r *runner) end(ctx context.Context, end *peerpb.End) {
 	end.Job = r.job.GetId()
 	end.Generation = r.generation
+	if r.direct {
+		r.entry.finishDirect(ctx, r.job, end)
+		return
+	}
 	r.entry.finish(ctx, r.job, end)
 }
 
