--- a/gang/watch.go
+++ b/gang/watch.go
@@ -51,6 +51,14 @@
 	failed bool
 }
 
+// Parent returns the index of the member that takes the given member's heartbeats; the root has none.
+func Parent(member, fanout int) (int, bool) {
+	if member <= 0 {
+		return 0, false
+	}
+	return (member - 1) / fanout, true
+}
+
 // New returns a Watch that takes every member as alive at the time of the call.
 func New(config Config) *Watch {
 	if config.Fanout <= 0 {
@@ -130,10 +138,7 @@
 
 // Parent returns the index of the member that takes this member's heartbeats; the root has none.
 func (w *Watch) Parent() (int, bool) {
-	if w.config.Member == 0 {
-		return 0, false
-	}
-	return (w.config.Member - 1) / w.config.Fanout, true
+	return Parent(w.config.Member, w.config.Fanout)
 }
 
 // SubtreeAge returns the age of the oldest liveness signal of this member and those below it.
