--- a/cmd/config.go
+++ b/cmd/config.go
@@ -39,6 +39,8 @@
 	root.SetOut(c.Stdout)
 	root.SetErr(c.Stderr)
 	root.AddCommand(
+		c.newAgentCmd(),
+		c.newEntryCmd(),
 		c.newVersionCmd(),
 	)
 	return root
--- /dev/null
+++ b/cmd/logging.go
@@ -0,0 +1,47 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+
+	"radishpath.example/radishpath/settings"
+)
+
+const traceMode = 0o600
+
+// newLogger returns the logger of a process.
+func (c *Config) newLogger(name string, from settings.LogSettings) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name:       name,
+		Level:      hclog.LevelFromString(from.Level),
+		Output:     c.Stderr,
+		JSONFormat: from.Format == "json",
+	})
+}
+
+// openTrace opens the decision trace; it is discarded when no path is set.
+func openTrace(path string) (io.WriteCloser, error) {
+	if path == "" {
+		return nopCloser{
+			Writer: io.Discard,
+		}, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, traceMode)
+	if err != nil {
+		return nil, fmt.Errorf("open decision trace: %w", err)
+	}
+	return file, nil
+}
+
+// nopCloser adds a Close that does nothing.
+type nopCloser struct {
+	io.Writer
+}
+
+// Close does nothing.
+func (nopCloser) Close() error {
+	return nil
+}
--- a/entry/adoption.go
+++ b/entry/adoption.go
@@ -15,16 +15,13 @@
 
 // runAdoption takes over the jobs of entries that are gone.
 func (e *Entry) runAdoption(ctx context.Context) error {
-	for {
-		e.pause(ctx, adoptionInterval)
-		if ctx.Err() != nil {
-			return nil
-		}
+	for e.pause(ctx, adoptionInterval) {
 		if e.isLeaving() || !e.jobs.isReadable() {
 			continue
 		}
 		e.adoptOrphans(ctx)
 	}
+	return nil
 }
 
 // adoptOrphans adopts the live jobs whose owner was silent for ownerSilence, if this entry is the first one alive.
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -51,11 +51,13 @@
 	}
 }
 
-// pause waits unless ctx ends.
-func (e *Entry) pause(ctx context.Context, d time.Duration) {
+// pause waits and returns false when ctx ended.
+func (e *Entry) pause(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
+		return false
 	case <-e.config.Clock.After(jitter(d)):
+		return true
 	}
 }
 
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -82,14 +82,13 @@
 
 // carry appends the current document again under its revision, before the log's retention drops its record.
 func (d *documents) carry(ctx context.Context) error {
-	revision, text := d.current()
-	if revision == 0 {
+	d.mu.Lock()
+	record := d.fold.Carry()
+	d.mu.Unlock()
+	if record == nil {
 		return nil
 	}
-	_, err := d.append(ctx, &peerpb.DocumentRecord{
-		Carried: revision,
-		Text:    text,
-	})
+	_, err := d.append(ctx, record)
 	return err
 }
 
@@ -260,6 +259,7 @@
 	record := &peerpb.DocumentRecord{}
 	if err := proto.Unmarshal(raw.Data, record); err != nil {
 		d.logger.Error("skip unreadable document record", "offset", raw.Offset, "error", err)
+		d.fold.Apply(raw.Offset, nil)
 		return
 	}
 	result := d.fold.Apply(raw.Offset, record)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,7 +11,6 @@
 
 	"radishpath.example/radishpath/peer"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/routing"
 )
 
 // noTime marks a heartbeat that answers no call of this process.
@@ -36,7 +35,6 @@
 	fleetChanges *signal
 	placer       *placer
 	owner        *owner
-	router       *routing.Router
 	handovers    *handovers
 	trace        *trace
 }
@@ -61,7 +59,6 @@
 	e.jobs = newJobs(config, e.observeChange)
 	e.placer = newPlacer(e)
 	e.owner = newOwner(e)
-	e.router = newRouter(config)
 	return e
 }
 
--- a/entry/gangs.go
+++ b/entry/gangs.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	placeRetry = 50 * time.Millisecond
-	placeWait  = 2 * time.Second
+	placePoll = 2 * time.Second
 	// settleWait is how long the other members get to end after one of them has ended early.
 	settleWait = 5 * time.Second
 	gangPoll   = 500 * time.Millisecond
@@ -60,6 +59,10 @@
 	}
 	for ctx.Err() == nil {
 		r.movable.Store(true)
+		if r.entry.owner.isDraining() {
+			<-ctx.Done()
+			return
+		}
 		if r.endUnstarted(ctx) {
 			r.forget(ctx, &peerpb.Forget{})
 			return
@@ -86,14 +89,14 @@
 			Count:      r.count + 1,
 		},
 		Owner: r.entry.config.ID,
-		Wait:  durationpb.New(placeWait),
+		Wait:  durationpb.New(placePoll),
 	})
 	switch {
 	case err != nil:
 		// The placer may hold members for this attempt; the next one supersedes it.
 		r.count++
 		r.setState(stateQueued, "waits for the placer: "+err.Error())
-		r.sleep(ctx, placeRetry)
+		r.sleep(ctx)
 		return nil, false
 	case reply.GetImpossible():
 		r.refuse(ctx, peerpb.Outcome_OUTCOME_REFUSED, reply.GetReasons()...)
@@ -135,7 +138,7 @@
 		r.forget(ctx, &peerpb.Forget{
 			Again: true,
 		})
-		r.sleep(ctx, placeRetry)
+		r.sleep(ctx)
 		return false
 	}
 	if reason := run.commit(ctx); reason != "" {
@@ -172,7 +175,7 @@
 		Reason: reason,
 	})
 	r.setState(stateQueued, reason)
-	r.sleep(ctx, placeRetry)
+	r.sleep(ctx)
 	return false
 }
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -151,3 +151,8 @@
 	}
 	return state.End
 }
+
+// waitCurrent waits until the stream was read to its end by a read that began after since.
+func (j *jobs) waitCurrent(ctx context.Context, since time.Time) bool {
+	return j.follower.WaitCurrent(ctx, since) == nil
+}
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -60,13 +60,6 @@
 	}
 }
 
-// count returns how many jobs run.
-func (o *owner) count() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.runners)
-}
-
 // deliver passes a report to the job's runner.
 func (o *owner) deliver(report *peerpb.Report) bool {
 	r, ok := o.get(report.GetJob())
--- a/entry/placersync.go
+++ b/entry/placersync.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math/bits"
 	"time"
 
 	"radishpath.example/radishpath/document"
@@ -228,14 +227,3 @@
 		Leaving:      view.leaving,
 	}
 }
-
-// accelerators counts the free accelerators of an agent's worker.
-func (v agentView) freeAccelerators() int {
-	free := int(v.worker.GetAccelerators())
-	for _, task := range v.tasks {
-		if !task.GetEnded() {
-			free -= bits.OnesCount64(task.GetAccelerators())
-		}
-	}
-	return max(free, 0)
-}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// pickRetry is how long a request waits before it looks for a backend server again.
-	pickRetry = 50 * time.Millisecond
 	// serveTimeout bounds one call; a request that takes longer is asked for with Query.
 	serveTimeout = 10 * time.Second
 	queryTimeout = time.Second
@@ -44,14 +42,14 @@
 		}
 		target, ok := r.pick(ctx)
 		if !ok {
-			r.sleep(ctx, pickRetry)
+			r.sleep(ctx)
 			continue
 		}
 		if !r.start(ctx, []string{target.id}) {
 			if r.isSuperseded() {
 				return
 			}
-			r.sleep(ctx, pickRetry)
+			r.sleep(ctx)
 			continue
 		}
 		r.count++
@@ -175,7 +173,7 @@
 		return true
 	case result.refused:
 		r.setState(stateQueued, result.reason)
-		r.sleep(ctx, pickRetry)
+		r.sleep(ctx)
 		return false
 	case result.lost && r.job.GetIdempotent():
 		return false
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -17,6 +17,8 @@
 	maxFailures = 3
 	// reportBuffer holds the reports of a gang while its runner is busy; agents send again what did not fit.
 	reportBuffer = 64
+	// tryInterval is the pause between tries to place or route a job.
+	tryInterval = 50 * time.Millisecond
 )
 
 // runner drives one job that this entry owns, from acceptance to its end.
@@ -176,12 +178,12 @@
 	return r.state, r.reasons
 }
 
-// sleep waits for a while; it returns early when the job is cancelled or ctx ends.
-func (r *runner) sleep(ctx context.Context, d time.Duration) {
+// sleep waits before another try; it returns early when the job is cancelled or ctx ends.
+func (r *runner) sleep(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-r.cancelled:
-	case <-r.entry.config.Clock.After(jitter(d)):
+	case <-r.entry.config.Clock.After(jitter(tryInterval)):
 	}
 }
 
--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -18,13 +18,10 @@
 // own claim.
 func (e *Entry) runCarries(ctx context.Context) error {
 	interval := e.config.Retention / carriesPerRetention
-	for {
-		e.pause(ctx, interval)
-		if ctx.Err() != nil {
-			return nil
-		}
+	for e.pause(ctx, interval) {
 		e.carryOnce(ctx)
 	}
+	return nil
 }
 
 func (e *Entry) carryOnce(ctx context.Context) {
@@ -50,16 +47,13 @@
 
 // runExpiry drops silent agents.
 func (e *Entry) runExpiry(ctx context.Context) error {
-	for {
-		e.pause(ctx, expiryInterval)
-		if ctx.Err() != nil {
-			return nil
-		}
+	for e.pause(ctx, expiryInterval) {
 		for _, id := range e.fleet.expire(e.config.Clock.Now()) {
 			e.logger.Warn("agent is gone", "agent", id)
 		}
 		e.jobs.ledger.Expire(e.jobs.follower.Status().First)
 	}
+	return nil
 }
 
 // shutdown waits for the end of the process's context, lets the load balancer and callers finish and hands the jobs
