Add placement: guarantees, queue, reservation, health

Cause: the entry process needs placement decisions for gang jobs. Guarantees are units with a concrete place in a plan; work outside its own units is borrowed and evictable, work that can be neither rerun nor checkpointed runs only within its guarantee. The queue is indexed per workspace and shape; a refused shape is tried again when something was freed. SetPolicy takes the package's own Policy until package document exists. No figures for speed yet.

--- /dev/null
+++ b/placement/queue.go
@@ -0,0 +1,167 @@
+package placement
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// shapeKey is what decides whether a job can be placed, apart from the workers on which it failed before.
+type shapeKey struct {
+	members        int
+	accelerators   int
+	cores          int
+	memory         int64
+	scope          Scope
+	kind           string
+	urgent         bool
+	idempotent     bool
+	checkpointable bool
+	// alone is the id of a job that avoids workers and is therefore tried on its own.
+	alone string
+}
+
+func (e *entry) shapeKey() shapeKey {
+	key := shapeKey{
+		members:        e.job.Members,
+		accelerators:   e.job.Accelerators,
+		cores:          e.job.Cores,
+		memory:         e.job.Memory,
+		scope:          e.job.Scope,
+		kind:           e.job.Kind,
+		urgent:         e.job.Urgent,
+		idempotent:     e.job.Idempotent,
+		checkpointable: e.job.Checkpointable,
+	}
+	if len(e.failed) > 0 {
+		key.alone = e.job.ID
+	}
+	return key
+}
+
+// class holds the queued jobs of one workspace that are equal for placement, ordered by key. When its first job does
+// not fit, none is tried until something was freed.
+type class struct {
+	shape shapeKey
+	space *space
+	jobs  entryHeap
+	// refused is the version of the cell at which the first job did not fit.
+	refused uint64
+	reasons []string
+	// explained is the version for which reasons were made.
+	explained uint64
+}
+
+// head returns the first job.
+func (c *class) head() *entry {
+	return c.jobs[0]
+}
+
+// space is the state of one workspace.
+type space struct {
+	Workspace
+	classes map[shapeKey]*class
+	// order lists the classes with jobs by the time they were made, for determinism.
+	order []*class
+	units []*unit
+	// usage counts accelerators of running jobs and claims.
+	usage int
+	// listed is false for a workspace that has jobs but is not in the policy.
+	listed bool
+}
+
+func newSpace(w Workspace) *space {
+	return &space{
+		Workspace: w,
+		classes:   map[shapeKey]*class{},
+	}
+}
+
+// push queues an entry.
+func (s *space) push(e *entry) {
+	key := e.shapeKey()
+	c, ok := s.classes[key]
+	if !ok {
+		c = &class{
+			shape: key,
+			space: s,
+		}
+		s.classes[key] = c
+		s.order = append(s.order, c)
+	}
+	e.state = queued
+	e.class = c
+	heap.Push(&c.jobs, e)
+}
+
+// remove takes an entry out of the queue. It costs the logarithm of the class, whatever the queue's length.
+func (s *space) remove(e *entry) {
+	c := e.class
+	heap.Remove(&c.jobs, e.index)
+	e.class = nil
+	if len(c.jobs) > 0 {
+		return
+	}
+	delete(s.classes, c.shape)
+	if at := slices.Index(s.order, c); at >= 0 {
+		s.order = slices.Delete(s.order, at, at+1)
+	}
+}
+
+// first returns the class with the earliest key among those that may fit at this version.
+func (s *space) first(version uint64) *class {
+	var best *class
+	for _, c := range s.order {
+		if c.refused == version {
+			continue
+		}
+		if best == nil || before(c.head(), best.head()) {
+			best = c
+		}
+	}
+	return best
+}
+
+// rank is the part of its share that the workspace would use with one more job, less a bonus for waiting. The bonus is
+// at most bonusLimit, so that a workspace that floods the queue does not outrank the others by age alone.
+func (s *space) rank(e *entry, fair float64, wait, slack time.Duration) float64 {
+	bonus := min(float64(wait)/float64(slack), 1) * bonusLimit
+	return float64(s.usage+e.job.size())/fair - bonus
+}
+
+// bonusLimit is half a share.
+const bonusLimit = 0.5
+
+// before orders entries by key and then by id.
+func before(a, b *entry) bool {
+	return cmp.Or(a.key.Compare(b.key), cmp.Compare(a.job.ID, b.job.ID)) < 0
+}
+
+// entryHeap implements heap.Interface.
+type entryHeap []*entry
+
+func (h entryHeap) Len() int           { return len(h) }
+func (h entryHeap) Less(i, k int) bool { return before(h[i], h[k]) }
+
+func (h entryHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].index = i
+	h[k].index = k
+}
+
+// Push implements heap.Interface.
+func (h *entryHeap) Push(x any) {
+	e := x.(*entry)
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *entryHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return e
+}
--- /dev/null
+++ b/placement/scheduler_test.go
@@ -0,0 +1,178 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func epoch() time.Time {
+	return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+}
+
+// newCellOf returns a scheduler with workers of 8 accelerators, three per rack, one rack per zone.
+func newCellOf(workers int, policy Policy) *Scheduler {
+	s := New(Config{})
+	s.SetPolicy(policy)
+	for i := range workers {
+		s.SetWorker(epoch(), Worker{
+			ID:           fmt.Sprintf("w%02d", i),
+			Zone:         fmt.Sprintf("z%d", i/3),
+			Rack:         fmt.Sprintf("r%d", i/3),
+			Accelerators: 8,
+			Cores:        64,
+			Memory:       64 << 30,
+		})
+	}
+	return s
+}
+
+func oneGuarantee(shapes ...Shape) Policy {
+	return Policy{
+		Workspaces: []Workspace{
+			{
+				Name:       "weddings",
+				Share:      1,
+				Guarantees: shapes,
+			},
+			{
+				Name:  "hotel",
+				Share: 1,
+			},
+		},
+	}
+}
+
+func jobOf(id, workspace string, members, accelerators int, scope Scope) Job {
+	return Job{
+		ID:             id,
+		Workspace:      workspace,
+		Members:        members,
+		Accelerators:   accelerators,
+		Scope:          scope,
+		Idempotent:     true,
+		Checkpointable: true,
+		Declared:       time.Minute,
+	}
+}
+
+func kinds(decisions []Decision) map[string]Kind {
+	out := map[string]Kind{}
+	for _, d := range decisions {
+		out[d.Job] = d.Kind
+	}
+	return out
+}
+
+// TestReclaim guards against a guarantee that stays with its borrowers, and against a limit other than the document's.
+func TestReclaim(t *testing.T) {
+	s := newCellOf(1, oneGuarantee(Shape{Members: 1, Accelerators: 8, Scope: ScopeWorker}))
+	now := epoch().Add(time.Minute)
+	require.NoError(t, s.Submit(now, jobOf("costing", "hotel", 1, 8, ScopeWorker)))
+	placed := s.Decide(now)
+	require.Equal(t, Place, placed[0].Kind)
+	require.True(t, placed[0].Borrowed)
+	require.NoError(t, s.Submit(now, jobOf("quote", "weddings", 1, 4, ScopeWorker)))
+	decisions := s.Decide(now)
+	require.Equal(t, Evict, kinds(decisions)["costing"])
+	require.True(t, decisions[0].Checkpoint)
+	require.Equal(t, 10*time.Second, decisions[0].Limit)
+	s.Ended(now.Add(time.Second), "costing", Result{})
+	decisions = s.Decide(now.Add(time.Second))
+	require.Equal(t, Place, decisions[0].Kind)
+	require.Equal(t, "quote", decisions[0].Job)
+	require.False(t, decisions[0].Borrowed)
+}
+
+// TestNeverBorrows guards against work that cannot be evicted on a place that others are guaranteed.
+func TestNeverBorrows(t *testing.T) {
+	s := newCellOf(2, oneGuarantee(Shape{Members: 1, Accelerators: 4, Scope: ScopeWorker}))
+	now := epoch().Add(time.Minute)
+	fixed := func(id, workspace string, accelerators int) Job {
+		j := jobOf(id, workspace, 1, accelerators, ScopeWorker)
+		j.Idempotent, j.Checkpointable = false, false
+		return j
+	}
+	require.ErrorIs(t, s.Submit(now, fixed("a", "hotel", 1)), ErrNeverRuns)
+	require.ErrorIs(t, s.Submit(now, fixed("b", "weddings", 8)), ErrNeverRuns)
+	require.NoError(t, s.Submit(now, fixed("c", "weddings", 4)))
+	require.NoError(t, s.Submit(now, fixed("d", "weddings", 4)))
+	require.Equal(t, map[string]Kind{"c": Place, "d": Wait}, kinds(s.Decide(now)))
+}
+
+// TestNeverRuns guards against jobs that wait for ever, and against refusals that do not say what to change.
+func TestNeverRuns(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		job  Job
+		want string
+	}{
+		{
+			name: "member larger than any worker",
+			job:  jobOf("a", "hotel", 1, 9, ScopeWorker),
+			want: "ask for at most 8 accelerators",
+		},
+		{
+			name: "gang larger than a rack",
+			job:  jobOf("a", "hotel", 4, 8, ScopeRack),
+			want: "at most 3 fit: ask for fewer members or a wider scope",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newCellOf(4, Policy{})
+			require.ErrorContains(t, s.Submit(epoch().Add(time.Minute), test.job), test.want)
+			require.NoError(t, s.Submit(epoch(), test.job), "workers may still be announcing themselves")
+			require.Equal(t, Refuse, s.Decide(epoch().Add(time.Minute))[0].Kind)
+		})
+	}
+}
+
+// TestFailsEverywhere guards against a job that is tried for ever, and against blaming the workers for it.
+func TestFailsEverywhere(t *testing.T) {
+	s := newCellOf(4, Policy{})
+	now := epoch().Add(time.Minute)
+	for _, id := range []string{"bad1", "bad2", "bad3"} {
+		require.NoError(t, s.Submit(now, jobOf(id, "hotel", 1, 8, ScopeWorker)))
+		for range 3 {
+			placed := s.Decide(now)
+			require.Equal(t, Place, placed[0].Kind)
+			s.Ended(now, id, Result{
+				FailedWorker: placed[0].Members[0].Worker,
+				Reason:       "exit 1",
+			})
+		}
+		last := s.Decide(now)
+		require.Equal(t, Refuse, last[0].Kind)
+		require.Len(t, last[0].Reasons, 3)
+	}
+	for _, n := range s.cell.nodes {
+		require.False(t, n.health.quarantined)
+	}
+}
+
+// TestQuarantine guards against a worker that fails everything being fed further, and against one that stays out for
+// ever after its repair.
+func TestQuarantine(t *testing.T) {
+	s := newCellOf(1, Policy{})
+	now := epoch().Add(time.Minute)
+	for i := range 3 {
+		id := fmt.Sprintf("j%d", i)
+		require.NoError(t, s.Submit(now, jobOf(id, "hotel", 1, 1, ScopeWorker)))
+		require.Equal(t, Place, kinds(s.Decide(now))[id])
+		s.Ended(now, id, Result{
+			FailedWorker: "w00",
+		})
+	}
+	require.NoError(t, s.Submit(now, jobOf("next", "hotel", 1, 1, ScopeWorker)))
+	require.Equal(t, map[string]Kind{"next": Wait}, kinds(s.Decide(now)))
+	now = now.Add(30 * time.Second)
+	require.Equal(t, map[string]Kind{"next": Place}, kinds(s.Decide(now)))
+	require.NoError(t, s.Submit(now, jobOf("other", "hotel", 1, 1, ScopeWorker)))
+	require.Equal(t, map[string]Kind{"other": Wait}, kinds(s.Decide(now)), "one probe at a time")
+	s.Ended(now, "next", Result{
+		OK: true,
+	})
+	require.Equal(t, map[string]Kind{"other": Place}, kinds(s.Decide(now)))
+}
--- /dev/null
+++ b/placement/try.go
@@ -0,0 +1,257 @@
+package placement
+
+import (
+	"math/bits"
+	"time"
+)
+
+// baseRooms returns what is free for an entry now, without the places that are claimed. With backfill set, the place of
+// the reservation counts as taken unless the entry is expected to end before the reservation begins.
+func (s *Scheduler) baseRooms(now time.Time, e *entry, backfill bool) []room {
+	s.rooms = s.rooms[:0]
+	held := backfill && s.reservation.blocks(now, e)
+	for _, n := range s.cell.nodes {
+		r := room{}
+		if n.accepts(now) && !e.avoids(n) {
+			r.mask = n.free &^ n.claimed
+			r.cores = n.freeCores - n.claimedCores
+			r.memory = n.freeMemory - n.claimedMemory
+			r.dear = n.plan
+		}
+		s.rooms = append(s.rooms, r)
+	}
+	if held {
+		s.reservation.subtract(s.rooms)
+	}
+	return s.rooms
+}
+
+// ownRooms reduces rooms to the unused parts of the workspace's units.
+func (s *Scheduler) ownRooms(e *entry, rooms []room) []room {
+	own := make([]uint64, len(rooms))
+	for _, u := range e.space.units {
+		for _, c := range u.cells {
+			own[c.node.index] |= c.mask
+		}
+	}
+	for i, n := range s.cell.nodes {
+		rooms[i].mask &= own[i] &^ n.used
+		rooms[i].dear = own[i] &^ n.pinned
+	}
+	return rooms
+}
+
+// try places an entry now, or claims a place that evictions will vacate.
+func (s *Scheduler) try(now time.Time, e *entry) bool {
+	if len(e.space.units) > 0 && (s.tryOwn(now, e) || s.tryCover(now, e)) {
+		return true
+	}
+	if e.job.evictable() && s.tryBorrow(now, e) {
+		return true
+	}
+	if len(e.space.units) > 0 && s.tryReclaim(now, e) {
+		return true
+	}
+	return e.job.Urgent && e.job.evictable() && s.tryPreempt(now, e)
+}
+
+// tryOwn places an entry in free parts of its workspace's units.
+func (s *Scheduler) tryOwn(now time.Time, e *entry) bool {
+	rooms := s.ownRooms(e, s.baseRooms(now, e, false))
+	pieces, ok := s.finder.find(rooms, e.chargedWant())
+	if !ok {
+		return false
+	}
+	s.take(e, pieces)
+	s.charge(e)
+	s.start(now, e, "within the guarantee")
+	return true
+}
+
+// tryCover places an entry on free accelerators and moves a floating unit of its workspace there.
+func (s *Scheduler) tryCover(now time.Time, e *entry) bool {
+	if !e.space.floats(e.job) {
+		return false
+	}
+	rooms := s.baseRooms(now, e, true)
+	for i, n := range s.cell.nodes {
+		rooms[i].mask &^= n.pinned | n.stuck
+		rooms[i].dear = 0
+	}
+	pieces, ok := s.finder.find(rooms, e.chargedWant())
+	if !ok {
+		return false
+	}
+	pieces = append([]piece(nil), pieces...)
+	for _, u := range e.space.units {
+		if u.jobs > 0 || !u.placed() || !u.holds(e.job) || !s.plan.cover(u, pieces) {
+			continue
+		}
+		s.take(e, pieces)
+		s.charge(e)
+		s.start(now, e, "within the guarantee")
+		return true
+	}
+	return false
+}
+
+// tryBorrow places an entry on free accelerators beyond the guarantee.
+func (s *Scheduler) tryBorrow(now time.Time, e *entry) bool {
+	pieces, ok := s.finder.find(s.baseRooms(now, e, true), e.want())
+	if !ok {
+		return false
+	}
+	s.take(e, pieces)
+	s.start(now, e, "beyond the guarantee")
+	return true
+}
+
+// tryReclaim claims unused parts of the workspace's units and evicts the borrowers there.
+func (s *Scheduler) tryReclaim(now time.Time, e *entry) bool {
+	limit := e.space.reclaim()
+	if e.job.Urgent {
+		limit = min(limit, s.config.Urgent)
+	}
+	rooms := s.evictRooms(now, e, func(other *entry) bool { return other.mode == borrowed })
+	own := s.ownRooms(e, rooms)
+	for i, n := range s.cell.nodes {
+		own[i].dear = n.all &^ n.free
+	}
+	w := e.chargedWant()
+	w.weight = evictWeight
+	pieces, ok := s.finder.find(own, w)
+	if !ok {
+		return false
+	}
+	s.take(e, pieces)
+	s.charge(e)
+	s.claim(e)
+	s.vacateFor(now, e, limit, "workspace "+e.space.Name+" reclaims its guarantee")
+	return true
+}
+
+// tryPreempt claims a place for an urgent entry on accelerators of borrowed work that is not urgent, as long as the
+// workspace stays within its share.
+func (s *Scheduler) tryPreempt(now time.Time, e *entry) bool {
+	if !s.withinShare(e) {
+		return false
+	}
+	rooms := s.evictRooms(now, e, func(other *entry) bool {
+		return other.mode == borrowed && !other.job.Urgent
+	})
+	for i, n := range s.cell.nodes {
+		rooms[i].dear = n.all &^ n.free
+	}
+	w := e.want()
+	w.weight = evictWeight
+	pieces, ok := s.finder.find(rooms, w)
+	if !ok {
+		return false
+	}
+	s.take(e, pieces)
+	s.claim(e)
+	s.vacateFor(now, e, s.config.Urgent, "urgent job "+e.job.ID)
+	return true
+}
+
+// evictRooms returns what would be free if the entries that satisfy may were gone. Entries that are leaving count as
+// gone.
+func (s *Scheduler) evictRooms(now time.Time, e *entry, may func(*entry) bool) []room {
+	rooms := s.baseRooms(now, e, false)
+	for i, n := range s.cell.nodes {
+		if !n.accepts(now) || e.avoids(n) {
+			continue
+		}
+		for _, other := range n.entries {
+			if other.state == evicting || may(other) {
+				rooms[i].release(other, n)
+			}
+		}
+		rooms[i].mask &^= n.claimed
+	}
+	return rooms
+}
+
+// release adds what an entry uses on a node.
+func (r *room) release(e *entry, n *node) {
+	for _, p := range e.pieces {
+		if p.node == n {
+			r.mask |= p.mask
+			r.cores += e.job.Cores
+			r.memory += e.job.Memory
+		}
+	}
+}
+
+// take gives an entry its place.
+func (s *Scheduler) take(e *entry, pieces []piece) {
+	e.pieces = append(e.pieces[:0], pieces...)
+	e.space.remove(e)
+}
+
+// vacateFor evicts the entries on the place of a claim: those on its accelerators, then as many others as its cores
+// and memory need, the last started first.
+func (s *Scheduler) vacateFor(now time.Time, e *entry, limit time.Duration, reason string) {
+	for _, p := range e.pieces {
+		for _, other := range p.node.entries {
+			if other.overlaps(p.node, p.mask) {
+				s.evict(now, other, limit, reason)
+			}
+		}
+	}
+	for _, p := range e.pieces {
+		for i := len(p.node.entries) - 1; i >= 0 && p.node.short(); i-- {
+			if other := p.node.entries[i]; other.mode == borrowed && other.state == running {
+				s.evict(now, other, limit, reason)
+			}
+		}
+	}
+}
+
+// short reports whether cores or memory will not suffice for the claims when the evictions are complete.
+func (n *node) short() bool {
+	r := room{
+		cores:  n.freeCores - n.claimedCores,
+		memory: n.freeMemory - n.claimedMemory,
+	}
+	for _, e := range n.entries {
+		if e.state == evicting {
+			r.release(e, n)
+		}
+	}
+	return r.cores < 0 || r.memory < 0
+}
+
+// floats reports whether a unit without jobs could hold the job.
+func (sp *space) floats(j Job) bool {
+	for _, u := range sp.units {
+		if u.jobs == 0 && u.placed() && u.holds(j) {
+			return true
+		}
+	}
+	return false
+}
+
+// holds reports whether the job's accelerators are no more than the unit's.
+func (u *unit) holds(j Job) bool {
+	return j.Accelerators <= u.shape.Accelerators && j.size() <= u.shape.Members*u.shape.Accelerators
+}
+
+// reclaim is the workspace's limit for evicting borrowers.
+func (sp *space) reclaim() time.Duration {
+	const usual = 10 * time.Second
+	if sp.Reclaim > 0 {
+		return sp.Reclaim
+	}
+	return usual
+}
+
+// withinShare reports whether the workspace, with one more job, uses no more than its share.
+func (s *Scheduler) withinShare(e *entry) bool {
+	return float64(e.space.usage+e.job.size()) <= s.fair(e.space)
+}
+
+// popcount is short for the number of accelerators of a set.
+func popcount(mask uint64) int {
+	return bits.OnesCount64(mask)
+}
