--- a/rest/client.go
+++ b/rest/client.go
@@ -19,6 +19,9 @@
 	// maxErrorBytes bounds the text that is kept of an error reply.
 	maxErrorBytes = 512
 	idleTimeout   = 90 * time.Second
+	// idleConnections are kept open when the number of connections has no limit; the default of net/http, 2, makes
+	// a burst of calls dial again and again.
+	idleConnections = 32
 )
 
 // Config configures a Client.
@@ -78,10 +81,14 @@
 }
 
 func newHTTPClient(connections int) *http.Client {
+	idle := connections
+	if idle == 0 {
+		idle = idleConnections
+	}
 	return &http.Client{
 		Transport: &http.Transport{
 			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
+			MaxIdleConnsPerHost: idle,
 			IdleConnTimeout:     idleTimeout,
 		},
 	}
--- a/standin/config.go
+++ b/standin/config.go
@@ -59,8 +59,8 @@
 	})
 }
 
-// serve answers requests until ctx ends, then closes every connection.
-func (c *config) serve(ctx context.Context, handler http.Handler) error {
+// serve answers requests until ctx ends, then closes every connection. A limit of 0 means any number of connections.
+func (c *config) serve(ctx context.Context, handler http.Handler, limit int) error {
 	listening := net.ListenConfig{}
 	listener, err := listening.Listen(ctx, "tcp", c.listen)
 	if err != nil {
@@ -69,6 +69,9 @@
 	if _, err = fmt.Fprintln(c.stdout, "listening on", listener.Addr()); err != nil {
 		return fmt.Errorf("print address: %w", err)
 	}
+	if limit > 0 {
+		listener = newLimitListener(listener, limit)
+	}
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
--- a/standin/logcmd.go
+++ b/standin/logcmd.go
@@ -17,7 +17,7 @@
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			server.Logger = c.logger("log")
-			return c.serve(cmd.Context(), logserver.New(server).Handler())
+			return c.serve(cmd.Context(), logserver.New(server).Handler(), 0)
 		},
 	}
 	cmd.Flags().IntVar(&server.Rate, "rate", 0, "appends per second, 0 for the default of 400")
--- a/standin/workercmd.go
+++ b/standin/workercmd.go
@@ -17,6 +17,9 @@
 	defaultSlots        = 8
 	defaultLag          = 2 * time.Second
 	recordMode          = 0o600
+	// defaultConnections is the "about 60" of docs/design.md section 1, with a few to spare for tests that read the
+	// record.
+	defaultConnections = 64
 )
 
 func (c *config) newWorkerCmd() *cobra.Command {
@@ -24,6 +27,7 @@
 		Clock: c.clock,
 	}
 	record := ""
+	connections := 0
 	cmd := &cobra.Command{
 		Use:     "worker",
 		Short:   "Run a worker and backend server in memory",
@@ -43,7 +47,7 @@
 			if err != nil {
 				return fmt.Errorf("configure worker: %w", err)
 			}
-			return c.serve(cmd.Context(), worker.Handler())
+			return c.serve(cmd.Context(), worker.Handler(), connections)
 		},
 	}
 	flags := cmd.Flags()
@@ -56,6 +60,7 @@
 	flags.IntVar(&server.Slots, "slots", defaultSlots, "requests that run at the same time")
 	flags.DurationVar(&server.Lag, "lag", defaultLag, "delay with which usage is reported")
 	flags.StringVar(&server.Checkpoints, "checkpoints", "", "directory for checkpoints, shared between workers")
+	flags.IntVar(&connections, "connections", defaultConnections, "connections accepted at the same time, 0 for any")
 	flags.StringVar(&record, "record", "", "file that also receives the record")
 	return cmd
 }
