Count a member's own lease in its gang's age

Cause: a test with a dead worker beside a live agent showed 18 members running on: the agent kept sending heartbeats for a task whose lease it could not renew. Change: the watch counts a member as stopped since its last renewal once a renewal failed or is overdue.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -108,17 +108,18 @@
 	a.announcer.address = a.advertised(listener)
 	a.config.Logger.Info("agent started", "agent", a.config.ID, "address", a.announcer.address, "zone", a.config.Zone)
 	a.startLoops()
-	stop := context.AfterFunc(ctx, func() {
+	ctx, cancel := context.WithCancel(ctx)
+	a.group.run(func(context.Context) {
+		<-ctx.Done()
 		a.config.Clock.Sleep(closeDelay)
 		a.calls.stop()
 	})
-	defer stop()
 	err = peer.NewServer(peer.ServerConfig{
 		Logger: a.config.Logger,
 		Handle: a.handle,
 		TLS:    a.config.TLS,
 	}).Serve(ctx, listener)
-	a.calls.close()
+	cancel()
 	a.group.close()
 	if err != nil {
 		return fmt.Errorf("serve peers: %w", err)
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -231,8 +231,12 @@
 		r.reason = status.Reason
 	}
 	t.holds.finish(found.key)
-	if (r.failed || r.lost) && found.member != nil && !found.isReleased() {
+	switch {
+	case found.member == nil:
+	case r.failed || r.lost && !found.isReleased():
 		found.member.fail()
+	default:
+		found.member.watch.Done()
 	}
 	t.journal.write(decisionEnd, found.key, status.State+": "+r.reason)
 	t.answers.add(r)
@@ -347,7 +351,10 @@
 	if !renew {
 		return
 	}
-	if err := t.lease(ctx, running.key.taskID(), taskLease); err != nil && ctx.Err() == nil {
+	asked := t.clock.Now()
+	err := t.lease(ctx, running.key.taskID(), taskLease)
+	running.member.watch.Renewed(asked, err == nil)
+	if err != nil && ctx.Err() == nil {
 		t.journal.logger.Warn("renew task lease", "task", running.key.taskID(), "error", err)
 	}
 }
--- a/gang/watch.go
+++ b/gang/watch.go
@@ -14,6 +14,8 @@
 	DefaultLimit = 2 * time.Second
 	// pauseShare of the limit without any call means that the process was probably paused.
 	pauseShare = 2
+	// overdueShare of the limit without a renewal of the member's own lease counts as a failed renewal.
+	overdueShare = 2
 	// settleShare of the limit is how long heartbeats that waited in socket buffers may arrive after a pause.
 	settleShare = 20
 )
@@ -38,6 +40,11 @@
 	children map[int]*signal
 	verdict  signal
 	failed   bool
+	// renewed is when this member's own lease was last renewed; failing is set when a later renewal failed, and done
+	// when the member has ended well and needs no lease.
+	renewed time.Time
+	failing bool
+	done    bool
 	// called is the time of the latest call. After a pause, heartbeats up to settled count from running, the last
 	// time at which the process was known to run, because they may have waited in a socket buffer since then.
 	called  time.Time
@@ -74,7 +81,8 @@
 		verdict: signal{
 			at: now,
 		},
-		called: now,
+		renewed: now,
+		called:  now,
 	}
 	for _, child := range w.Children() {
 		w.children[child] = &signal{
@@ -113,6 +121,13 @@
 	return children
 }
 
+// Done records that this member has ended well. It needs no lease any more.
+func (w *Watch) Done() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.done = true
+}
+
 // Fail records that this member failed. It can't be undone.
 func (w *Watch) Fail() {
 	w.mu.Lock()
@@ -141,6 +156,17 @@
 	return Parent(w.config.Member, w.config.Fanout)
 }
 
+// Renewed records the outcome of a renewal of this member's own lease that was asked for at the given time. A member
+// whose worker doesn't answer is not alive, however well its agent is.
+func (w *Watch) Renewed(asked time.Time, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failing = !ok
+	if ok && asked.After(w.renewed) {
+		w.renewed = asked
+	}
+}
+
 // SubtreeAge returns the age of the oldest liveness signal of this member and those below it.
 func (w *Watch) SubtreeAge() (age time.Duration, failed bool) {
 	w.mu.Lock()
@@ -156,8 +182,18 @@
 	w.verdict.raise(w.tick(), age, failed)
 }
 
+// own returns the age of this member's own lease. The lease is renewed every now and then, so its age counts only
+// when a renewal failed or is overdue.
+func (w *Watch) own(now time.Time) time.Duration {
+	age := now.Sub(w.renewed)
+	if w.done || !w.failing && age < w.config.Limit/overdueShare {
+		return 0
+	}
+	return age
+}
+
 func (w *Watch) subtree(now time.Time) (time.Duration, bool) {
-	var oldest time.Duration
+	oldest := w.own(now)
 	failed := w.failed
 	for _, s := range w.children {
 		oldest = max(oldest, now.Sub(s.at))
--- a/gang/watch_test.go
+++ b/gang/watch_test.go
@@ -20,8 +20,10 @@
 	clock   *clockwork.FakeClock
 	watches []*Watch
 	stopped map[int]bool
-	next    []time.Time
-	mail    []letter
+	// idle members can't renew their lease, although their process still sends heartbeats.
+	idle map[int]bool
+	next []time.Time
+	mail []letter
 	// reliable loses nothing.
 	reliable bool
 }
@@ -36,6 +38,7 @@
 		t:       t,
 		clock:   clockwork.NewFakeClock(),
 		stopped: map[int]bool{},
+		idle:    map[int]bool{},
 	}
 	members := rapid.IntRange(2, 60).Draw(t, "members")
 	fanout := rapid.IntRange(1, 16).Draw(t, "fanout")
@@ -82,6 +85,11 @@
 }
 
 func (n *network) beat(child int) {
+	if !n.idle[child] {
+		n.watches[child].Renewed(n.clock.Now(), true)
+	} else if rapid.Bool().Draw(n.t, "noticed") {
+		n.watches[child].Renewed(n.clock.Now(), false)
+	}
 	parent, ok := n.watches[child].Parent()
 	if !ok {
 		return
@@ -129,8 +137,14 @@
 		n := newNetwork(t)
 		n.run(n.delay() * 3)
 		victim := rapid.IntRange(0, len(n.watches)-1).Draw(t, "victim")
-		n.stopped[victim] = true
-		n.run(time.Duration(n.depth())*interval + DefaultLimit)
+		bound := time.Duration(n.depth())*interval + DefaultLimit
+		if rapid.Bool().Draw(t, "idle") {
+			n.idle[victim] = true
+			bound += DefaultLimit / overdueShare
+		} else {
+			n.stopped[victim] = true
+		}
+		n.run(bound)
 		for range 10 {
 			for member, watch := range n.watches {
 				if age, _ := watch.Age(); member != victim && age < DefaultLimit {
@@ -168,6 +182,7 @@
 		Clock:   clock,
 	})
 	clock.Advance(DefaultLimit - step)
+	watch.Renewed(clock.Now(), true)
 	watch.Heard(1, 0, false)
 	age, _ := watch.Age()
 	require.Equal(t, DefaultLimit-step, age)
