Accept URLs as addresses and record resumed tasks

Cause: the settings name the log, the workers and the backend servers by URL, while the clients took only host:port. Judging that a non-idempotent job ran at most once needs to know which starts went on from a checkpoint.

Change: an address is host:port or a URL; start events have "resumed".

Conclusion: the settings' values can be passed to the clients unchanged.

--- a/backend/server.go
+++ b/backend/server.go
@@ -18,7 +18,7 @@
 
 // ServerConfig configures a Server.
 type ServerConfig struct {
-	// Address is host:port of the backend server.
+	// Address is host:port or the URL of the backend server.
 	Address string
 	// Client replaces the HTTP client.
 	Client *http.Client
--- a/rest/client.go
+++ b/rest/client.go
@@ -26,7 +26,7 @@
 
 // Config configures a Client.
 type Config struct {
-	// Address is host:port of the server.
+	// Address is host:port or the URL of the server.
 	Address string
 	// Connections limits the open connections to the server; 0 means no limit.
 	Connections int
@@ -44,6 +44,9 @@
 	if config.Client == nil {
 		config.Client = newHTTPClient(config.Connections)
 	}
+	if !strings.Contains(config.Address, "://") {
+		config.Address = "http://" + config.Address
+	}
 	return &Client{
 		config: config,
 	}
@@ -62,7 +65,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.config.Address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, c.config.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("%w: make request: %w", ErrRejected, err)
 	}
--- a/standin/workerserver/event.go
+++ b/standin/workerserver/event.go
@@ -47,6 +47,8 @@
 	Zone   string `json:"zone"`
 	State  string `json:"state,omitempty"`
 	Reason string `json:"reason,omitempty"`
+	// Resumed says that a task was started to go on from its checkpoint.
+	Resumed bool `json:"resumed,omitempty"`
 	// Expired is when the lease of a lapsed task expired; the task did no work after that.
 	Expired time.Time `json:"expired,omitzero"`
 }
--- a/standin/workerserver/task.go
+++ b/standin/workerserver/task.go
@@ -55,6 +55,7 @@
 		Accelerators: t.status.Accelerators,
 		State:        t.status.State,
 		Reason:       t.status.Reason,
+		Resumed:      t.status.Resume,
 	}
 }
 
