--- a/proof/harness/cluster.go
+++ b/proof/harness/cluster.go
@@ -15,7 +15,7 @@
 	// Log is added to the command line of the log service.
 	Log []string
 	// Linked puts the Network between all processes. The processes then announce addresses other than those they
-	// listen on, by the key "address" of their settings.
+	// listen on, by the key "advertise" of their settings.
 	Linked bool
 }
 
--- a/rest/client.go
+++ b/rest/client.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -70,7 +72,7 @@
 		return fmt.Errorf("%w: make request: %w", ErrRejected, err)
 	}
 	response, err := c.config.Client.Do(request)
-	if err != nil && !connected.Load() {
+	if err != nil && (!connected.Load() || isDial(err)) {
 		return fmt.Errorf("%w: no connection: %w", ErrRejected, err)
 	}
 	if err != nil {
@@ -83,6 +85,13 @@
 	return readReply(response, reply)
 }
 
+// isDial reports whether err is that of a new connection. After a connection was used, net/http dials again only if it
+// has not written any of the request to the old one, or if the request is a read.
+func isDial(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 func newHTTPClient(connections int) *http.Client {
 	idle := connections
 	if idle == 0 {
