Number runs when they begin

Cause: a trial of a gang with both members on one worker answered "g1 2" twice, because the counter was read when the work ended. Two runs of one job that overlap must not give the same answer.

Change: each run takes its number when it begins.

Conclusion: an empty answer now names the run it belongs to.

--- a/standin/workerserver/doc.go
+++ b/standin/workerserver/doc.go
@@ -17,7 +17,7 @@
 //
 //	{"work": "20ms", "answer": "...", "fail": false}
 //
-// If answer is empty, the answer is the job id and, after a space, how often this server has run the job. A payload
+// If answer is empty, the answer is the job id and, after a space, the number of this run of the job here. A payload
 // that is no such JSON makes the task or request fail.
 //
 // Statuses of the worker's calls: 409 for a task whose id is known; 412 for a task whose lease is not live; 423 for a
--- a/standin/workerserver/payload.go
+++ b/standin/workerserver/payload.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"radishpath.example/radishpath/rest"
@@ -31,6 +32,14 @@
 	return payload
 }
 
+// answer is what the given run of the job returns.
+func (p Payload) answer(job string, run int) []byte {
+	if p.Answer != "" {
+		return []byte(p.Answer)
+	}
+	return fmt.Appendf(nil, "%s %d", job, run)
+}
+
 func (p Payload) work() time.Duration {
 	return time.Duration(p.Work)
 }
--- a/standin/workerserver/request.go
+++ b/standin/workerserver/request.go
@@ -6,6 +6,8 @@
 type request struct {
 	status  backend.Status
 	payload Payload
+	// run numbers the runs of the job on this server.
+	run int
 	// ended is closed when the answer is there.
 	ended chan struct{}
 }
--- a/standin/workerserver/requests.go
+++ b/standin/workerserver/requests.go
@@ -27,7 +27,7 @@
 	if s.faults.Fail {
 		r.payload = failedWorker()
 	}
-	s.runs[description.Job]++
+	r.run = s.count(description.Job)
 	s.requests[description.ID] = r
 	s.note(r.event(EventStart))
 	s.config.Clock.AfterFunc(r.payload.work(), func() { s.conclude(r) })
@@ -39,7 +39,7 @@
 	s.lock()
 	defer s.mu.Unlock()
 	r.status.State = backend.StateDone
-	r.status.Answer.Body = s.answer(r.status.Job, r.payload)
+	r.status.Answer.Body = r.payload.answer(r.status.Job, r.run)
 	if r.payload.Fail {
 		r.status.State = backend.StateFailed
 		r.status.Answer = backend.Answer{
--- a/standin/workerserver/server.go
+++ b/standin/workerserver/server.go
@@ -104,12 +104,10 @@
 	return router
 }
 
-// answer is what a run of the job returns.
-func (s *Server) answer(job string, payload Payload) []byte {
-	if payload.Answer != "" {
-		return []byte(payload.Answer)
-	}
-	return fmt.Appendf(nil, "%s %d", job, s.runs[job])
+// count numbers a run of a job that begins.
+func (s *Server) count(job string) int {
+	s.runs[job]++
+	return s.runs[job]
 }
 
 // expire ends the tasks whose leases have lapsed. Every access calls it first, so that a lapsed lease counts as
--- a/standin/workerserver/task.go
+++ b/standin/workerserver/task.go
@@ -15,6 +15,8 @@
 type task struct {
 	status  platform.TaskStatus
 	payload Payload
+	// run numbers the runs of the job on this worker.
+	run int
 	// done is the work done until since.
 	done  time.Duration
 	since time.Time
--- a/standin/workerserver/tasks.go
+++ b/standin/workerserver/tasks.go
@@ -56,7 +56,7 @@
 		s.finish(t, platform.StateFailed, t.payload.reason())
 		return
 	}
-	t.status.Answer = s.answer(t.status.Job, t.payload)
+	t.status.Answer = t.payload.answer(t.status.Job, t.run)
 	s.finish(t, platform.StateDone, "")
 }
 
@@ -149,7 +149,7 @@
 
 // run makes a task known and starts its work.
 func (s *Server) run(t *task, now time.Time) {
-	s.runs[t.status.Job]++
+	t.run = s.count(t.status.Job)
 	s.tasks[t.status.ID] = t
 	s.note(t.event(EventStart))
 	s.usage.add(now, s.occupied())
