Add entries and workers to a running cluster

Cause: instances are replaced at any time; tests need new ones that join later.

Conclusion: a cluster can grow during a test.

--- a/proof/harness/cluster.go
+++ b/proof/harness/cluster.go
@@ -1,8 +1,6 @@
 package harness
 
-import (
-	"fmt"
-)
+import "fmt"
 
 // ClusterConfig describes a whole deployment.
 type ClusterConfig struct {
@@ -26,6 +24,13 @@
 	Workers []*Worker
 	// Agents are in the order of Workers.
 	Agents []*Agent
+
+	harness *Harness
+	config  ClusterConfig
+	// log is the address at which entries reach the log service.
+	log string
+	// nodes are the addresses at which other processes reach the entries.
+	nodes []node
 }
 
 // Agent is an agent process.
@@ -53,46 +58,79 @@
 func (h *Harness) StartCluster(config ClusterConfig) *Cluster {
 	h.t.Helper()
 	cluster := &Cluster{
-		Log: h.StartLog(config.Log...),
+		Log:     h.StartLog(config.Log...),
+		harness: h,
+		config:  config,
 	}
+	cluster.log = h.front(config.Linked, cluster.Log.Name, cluster.Log.Address)
 	for _, worker := range config.Workers {
 		cluster.Workers = append(cluster.Workers, h.StartWorker(worker))
 	}
-	seeds := h.startEntries(config, cluster)
+	entries := []EntryConfig{}
+	for range config.Entries {
+		entries = append(entries, cluster.newEntry())
+	}
+	for _, entry := range entries {
+		cluster.startEntry(entry)
+	}
 	for _, worker := range cluster.Workers {
-		cluster.Agents = append(cluster.Agents, h.startAgent(config, worker, seeds))
+		cluster.startAgent(worker)
 	}
 	return cluster
 }
 
-// front returns the address at which other processes reach the process.
-func (h *Harness) front(linked bool, name, address string) string {
+// AddEntry starts one more entry, which knows the others; they learn of it from it.
+func (c *Cluster) AddEntry() *Entry {
+	c.harness.t.Helper()
+	return c.startEntry(c.newEntry())
+}
+
+// AddWorker starts one more worker and the agent beside it.
+func (c *Cluster) AddWorker(config WorkerConfig) (*Worker, *Agent) {
+	c.harness.t.Helper()
+	worker := c.harness.StartWorker(config)
+	c.Workers = append(c.Workers, worker)
+	return worker, c.startAgent(worker)
+}
+
+// newEntry chooses id, zone and addresses of an entry.
+func (c *Cluster) newEntry() EntryConfig {
+	h := c.harness
 	h.t.Helper()
-	if !linked {
-		return address
+	entry := c.config.Entry
+	entry.ID = fmt.Sprintf("entry-%d", len(c.nodes)+1)
+	entry.Zone = c.config.zone(len(c.nodes))
+	entry.log = c.log
+	entry.listen, entry.caller, entry.admin = h.address(), h.address(), h.address()
+	entry.decisions = entry.ID + ".decisions"
+	reached := entry.listen
+	if c.config.Linked {
+		entry.announced = h.front(true, entry.ID, entry.listen)
+		reached = entry.announced
 	}
-	front, err := h.network.front(name, address)
-	if err != nil {
-		h.t.Fatalf("%v", err)
-	}
-	return front
+	c.nodes = append(c.nodes, node{
+		id:      entry.ID,
+		address: reached,
+	})
+	return entry
 }
 
 // startAgent starts the agent beside a worker.
-func (h *Harness) startAgent(config ClusterConfig, worker *Worker, entries []node) *Agent {
+func (c *Cluster) startAgent(worker *Worker) *Agent {
+	h := c.harness
 	h.t.Helper()
 	agent := agentConfig{
 		id:      "agent-" + worker.Config.ID,
 		zone:    worker.Config.Zone,
-		level:   config.Entry.Level,
+		level:   c.config.Entry.Level,
 		listen:  h.address(),
 		admin:   h.address(),
-		entries: entries,
-		worker:  h.front(config.Linked, worker.Name, worker.Address),
+		entries: c.nodes,
+		worker:  h.front(c.config.Linked, worker.Name, worker.Address),
 	}
 	agent.backend = agent.worker
 	agent.decisions = agent.id + ".decisions"
-	if config.Linked {
+	if c.config.Linked {
 		agent.announced = h.front(true, agent.id, agent.listen)
 	}
 	started := &Agent{
@@ -101,41 +139,14 @@
 		Admin: agent.admin,
 	}
 	started.start()
+	c.Agents = append(c.Agents, started)
 	return started
 }
 
-// startEntries starts the entries and returns the addresses at which other processes reach them.
-func (h *Harness) startEntries(config ClusterConfig, cluster *Cluster) []node {
-	h.t.Helper()
-	log := h.front(config.Linked, cluster.Log.Name, cluster.Log.Address)
-	entries := make([]EntryConfig, config.Entries)
-	nodes := make([]node, config.Entries)
-	for i := range entries {
-		entry := config.Entry
-		entry.ID = fmt.Sprintf("entry-%d", i+1)
-		entry.Zone = config.zone(i)
-		entry.log = log
-		entry.listen, entry.caller, entry.admin = h.address(), h.address(), h.address()
-		entry.decisions = entry.ID + ".decisions"
-		nodes[i] = node{
-			id:      entry.ID,
-			address: entry.listen,
-		}
-		if config.Linked {
-			entry.announced = h.front(true, entry.ID, entry.listen)
-			nodes[i].address = entry.announced
-		}
-		entries[i] = entry
-	}
-	for i, entry := range entries {
-		entry.peers = others(nodes, i)
-		cluster.Entries = append(cluster.Entries, h.startEntry(entry))
-	}
-	return nodes
-}
-
-func (h *Harness) startEntry(entry EntryConfig) *Entry {
+func (c *Cluster) startEntry(entry EntryConfig) *Entry {
+	h := c.harness
 	h.t.Helper()
+	entry.peers = others(c.nodes, entry.ID)
 	started := &Entry{
 		Process: h.process(entry.ID, "radishpath", []string{entry.listen, entry.caller, entry.admin},
 			"entry", "--settings", h.write(entry.ID+".ini", entrySettings(entry))),
@@ -143,9 +154,23 @@
 		Admin:  entry.admin,
 	}
 	started.start()
+	c.Entries = append(c.Entries, started)
 	return started
 }
 
+// front returns the address at which other processes reach the process.
+func (h *Harness) front(linked bool, name, address string) string {
+	h.t.Helper()
+	if !linked {
+		return address
+	}
+	front, err := h.network.front(name, address)
+	if err != nil {
+		h.t.Fatalf("%v", err)
+	}
+	return front
+}
+
 // zone spreads the entries over the zones of the workers.
 func (c ClusterConfig) zone(entry int) string {
 	zones := []string{}
@@ -163,12 +188,12 @@
 }
 
 // others returns the nodes except one.
-func others(nodes []node, except int) []node {
-	rest := []node{}
-	for i, n := range nodes {
-		if i != except {
-			rest = append(rest, n)
+func others(nodes []node, except string) []node {
+	result := []node{}
+	for _, n := range nodes {
+		if n.id != except {
+			result = append(result, n)
 		}
 	}
-	return rest
+	return result
 }
--- a/rest/client_test.go
+++ b/rest/client_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"testing"
 	"time"
 
@@ -126,3 +128,34 @@
 	require.NoError(t, <-first)
 	require.Empty(t, arrived)
 }
+
+// failingTransport fails with an error after it has had a connection.
+type failingTransport struct {
+	err error
+}
+
+func (f failingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{
+		Reused: true,
+	})
+	return nil, f.err
+}
+
+// TestDoAfterIdleConnection guards against an unknown outcome for a call that found its idle connection closed and
+// then nobody listening, and against a refusal for one that failed on the connection.
+func TestDoAfterIdleConnection(t *testing.T) {
+	for _, operation := range []string{"dial", "read", "write"} {
+		err := rest.New(rest.Config{
+			Client: &http.Client{
+				Transport: failingTransport{
+					err: &net.OpError{
+						Op:  operation,
+						Err: io.ErrUnexpectedEOF,
+					},
+				},
+			},
+		}).Do(t.Context(), http.MethodPost, "/", nil, nil)
+		require.Error(t, err)
+		require.Equal(t, operation == "dial", errors.Is(err, rest.ErrRejected), operation)
+	}
+}
