Give each harness a directory of its own

Cause: in a trial with a fixed directory, the records of an earlier test were counted as the next test's, because workers append to their record file.

Change: Config.Directory receives a new directory per harness.

Conclusion: output can be kept for inspection without changing verdicts.

--- a/proof/harness/harness.go
+++ b/proof/harness/harness.go
@@ -18,7 +18,8 @@
 	Clock clockwork.Clock
 	// Binaries is a directory with radishpath and standin; empty builds them once per test process.
 	Binaries string
-	// Directory receives settings, records and output; empty takes a directory that is removed after the test.
+	// Directory receives settings, records and output, in a new directory in it that stays after the test; empty takes
+	// a directory that is removed.
 	Directory string
 }
 
@@ -38,15 +39,15 @@
 // New returns a Harness whose processes end with the test.
 func New(t T, config Config) *Harness {
 	t.Helper()
-	if config.Directory == "" {
-		config.Directory = t.TempDir()
+	directory, err := newDirectory(t, config.Directory)
+	if err != nil {
+		t.Fatalf("%v", err)
 	}
+	config.Directory = directory
 	if config.Binaries == "" {
-		directory, err := build(t.Context())
-		if err != nil {
+		if config.Binaries, err = build(t.Context()); err != nil {
 			t.Fatalf("%v", err)
 		}
-		config.Binaries = directory
 	}
 	binaries, err := filepath.Abs(config.Binaries)
 	if err != nil {
@@ -193,3 +194,19 @@
 	}
 	return path
 }
+
+// newDirectory makes a directory of the harness's own, because records of an earlier harness would count as its.
+func newDirectory(t T, parent string) (string, error) {
+	t.Helper()
+	if parent == "" {
+		return t.TempDir(), nil
+	}
+	if err := os.MkdirAll(parent, directoryMode); err != nil {
+		return "", fmt.Errorf("make directory: %w", err)
+	}
+	directory, err := os.MkdirTemp(parent, "run-")
+	if err != nil {
+		return "", fmt.Errorf("make directory: %w", err)
+	}
+	return directory, nil
+}
--- a/proof/harness/harness_test.go
+++ b/proof/harness/harness_test.go
@@ -18,9 +18,15 @@
 )
 
 func newHarness(t *testing.T) *harness.Harness {
+	t.Helper()
+	return newHarnessIn(t, "")
+}
+
+func newHarnessIn(t *testing.T, directory string) *harness.Harness {
 	t.Helper()
 	return harness.New(t, harness.Config{
-		Clock: clockwork.NewRealClock(),
+		Clock:     clockwork.NewRealClock(),
+		Directory: directory,
 	})
 }
 
@@ -99,13 +105,18 @@
 	require.Len(t, log.Deaths(), 2)
 }
 
-// TestEventsSurviveKill guards against work of a killed worker that the invariants do not see or never see end.
+// TestEventsSurviveKill guards against work of a killed worker that the invariants do not see or never see end, and
+// against work of another harness in the same directory.
 func TestEventsSurviveKill(t *testing.T) {
-	h := newHarness(t)
-	worker := h.StartWorker(harness.WorkerConfig{
+	config := harness.WorkerConfig{
 		ID:   "w1",
 		Zone: "suva",
-	})
+	}
+	directory := t.TempDir()
+	earlier := newHarnessIn(t, directory).StartWorker(config)
+	startTask(t, earlier, "earlier")
+	h := newHarnessIn(t, directory)
+	worker := h.StartWorker(config)
 	startTask(t, worker, "first")
 	worker.Stop()
 	paused := clockwork.NewRealClock().Now()
