--- a/rest/client.go
+++ b/rest/client.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -26,7 +28,7 @@
 
 // Config configures a Client.
 type Config struct {
-	// Address is host:port of the server.
+	// Address is host:port or the URL of the server.
 	Address string
 	// Connections limits the open connections to the server; 0 means no limit.
 	Connections int
@@ -44,6 +46,9 @@
 	if config.Client == nil {
 		config.Client = newHTTPClient(config.Connections)
 	}
+	if !strings.Contains(config.Address, "://") {
+		config.Address = "http://" + config.Address
+	}
 	return &Client{
 		config: config,
 	}
@@ -62,12 +67,12 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.config.Address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, c.config.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("%w: make request: %w", ErrRejected, err)
 	}
 	response, err := c.config.Client.Do(request)
-	if err != nil && !connected.Load() {
+	if err != nil && (!connected.Load() || isDial(err)) {
 		return fmt.Errorf("%w: no connection: %w", ErrRejected, err)
 	}
 	if err != nil {
@@ -80,6 +85,13 @@
 	return readReply(response, reply)
 }
 
+// isDial reports whether err is that of a new connection. After a connection was used, net/http dials again only if it
+// has not written any of the request to the old one, or if the request is a read.
+func isDial(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 func newHTTPClient(connections int) *http.Client {
 	idle := connections
 	if idle == 0 {
--- a/standin/workerserver/task.go
+++ b/standin/workerserver/task.go
@@ -15,6 +15,8 @@
 type task struct {
 	status  platform.TaskStatus
 	payload Payload
+	// run numbers the runs of the job on this worker.
+	run int
 	// done is the work done until since.
 	done  time.Duration
 	since time.Time
@@ -55,6 +57,7 @@
 		Accelerators: t.status.Accelerators,
 		State:        t.status.State,
 		Reason:       t.status.Reason,
+		Resumed:      t.status.Resume,
 	}
 }
 
