Write and follow the job stream

Cause: an append can take effect although its response was lost, and it can appear behind younger batches. The writer batches records and appends a batch of unknown outcome again, under the same writer and sequence, until a copy is in the log; the ledger gives effect to the first copy only. The follower folds the stream and reports the start of the last read that reached its end. Ledger.Skip drops live jobs after a gap.

--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,407 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"radishpath.example/radishpath/ledger"
+	"radishpath.example/radishpath/peer/peerpb"
+)
+
+var (
+	errRejected = errors.New("refused")
+	errLost     = errors.New("response lost")
+)
+
+// fakeLog is a log in memory whose faults the tests choose.
+type fakeLog struct {
+	mu      sync.Mutex
+	first   int64
+	records [][]byte
+	// appends and reads are consulted before each call; nil means no fault.
+	appends func(data []byte) (keep bool, err error)
+	reads   func() error
+	calls   int
+	grown   chan struct{}
+}
+
+func newFakeLog() *fakeLog {
+	return &fakeLog{
+		grown: make(chan struct{}),
+	}
+}
+
+func (l *fakeLog) Append(_ context.Context, data []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	keep, err := true, error(nil)
+	if l.appends != nil {
+		keep, err = l.appends(data)
+	}
+	if !keep {
+		return 0, err
+	}
+	return l.add(data), err
+}
+
+func (l *fakeLog) Read(ctx context.Context, from int64, limit int, _ time.Duration) (
+	int64, int64, []Record, error,
+) {
+	l.mu.Lock()
+	grown, next, reads := l.grown, l.first+int64(len(l.records)), l.reads
+	l.mu.Unlock()
+	if reads != nil {
+		if err := reads(); err != nil {
+			return 0, 0, nil, err
+		}
+	}
+	if from >= next {
+		select {
+		case <-ctx.Done():
+		case <-grown:
+		case <-time.After(20 * time.Millisecond): //nolint:forbidigo // the wait of a real log.
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var records []Record
+	for offset := max(from, l.first); offset < l.first+int64(len(l.records)) && len(records) < limit; offset++ {
+		records = append(records, Record{
+			Offset: offset,
+			Data:   l.records[offset-l.first],
+		})
+	}
+	return l.first, l.first + int64(len(l.records)), records, ctx.Err()
+}
+
+func (l *fakeLog) add(data []byte) int64 {
+	l.records = append(l.records, data)
+	close(l.grown)
+	l.grown = make(chan struct{})
+	return l.first + int64(len(l.records)) - 1
+}
+
+func (l *fakeLog) fault(appends func([]byte) (bool, error)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends = appends
+}
+
+// process is a writer with its follower.
+type process struct {
+	jobs     *ledger.Ledger
+	writer   *Writer
+	follower *Follower
+}
+
+func startProcess(t *testing.T, log *fakeLog, clock clockwork.Clock, id string, queue int) process {
+	t.Helper()
+	p := process{
+		jobs: ledger.New(),
+	}
+	p.writer = NewWriter(WriterConfig{
+		Clock:    clock,
+		ID:       id,
+		Ledger:   p.jobs,
+		Append:   log.Append,
+		Rejected: func(err error) bool { return errors.Is(err, errRejected) },
+		Queue:    queue,
+	})
+	p.follower = NewFollower(FollowerConfig{
+		Clock:    clock,
+		Ledger:   p.jobs,
+		Read:     log.Read,
+		Observe:  p.writer.Observe,
+		Truncate: p.writer.Truncate,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 2)
+	go func() { done <- p.writer.Run(ctx) }()
+	go func() { done <- p.follower.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+		require.NoError(t, <-done)
+	})
+	return p
+}
+
+func accept(id string) *peerpb.Record {
+	return &peerpb.Record{
+		Kind: &peerpb.Record_Accept{
+			Accept: &peerpb.Accept{
+				Job: &peerpb.Job{
+					Id: id,
+				},
+				Owner: "e1",
+			},
+		},
+	}
+}
+
+func submitContext(t *testing.T, limit time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// TestSubmitFaults guards against a submitter that is told a wrong outcome, or records that count twice, when single
+// appends fail. The result must be one effective accept.
+func TestSubmitFaults(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults []func([]byte) (bool, error)
+		// copies is the number of batches in the log.
+		copies int
+	}{
+		{
+			name:   "no fault",
+			copies: 1,
+		},
+		{
+			name:   "append refused twice",
+			faults: []func([]byte) (bool, error){refuse, refuse},
+			copies: 1,
+		},
+		{
+			name:   "append lost",
+			faults: []func([]byte) (bool, error){lose},
+			copies: 1,
+		},
+		{
+			name:   "append lost, then refused",
+			faults: []func([]byte) (bool, error){lose, refuse},
+			copies: 1,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			log := newFakeLog()
+			faults := test.faults
+			log.appends = func(data []byte) (bool, error) {
+				if len(faults) == 0 {
+					return true, nil
+				}
+				fault := faults[0]
+				faults = faults[1:]
+				return fault(data)
+			}
+			p := startProcess(t, log, clockwork.NewRealClock(), "e1", 0)
+			result, err := p.writer.Submit(submitContext(t, time.Minute), accept("a"))
+			require.NoError(t, err)
+			require.True(t, result.Changes[0].Applied)
+			require.Len(t, log.records, test.copies)
+		})
+	}
+}
+
+func refuse([]byte) (bool, error) { return false, errRejected }
+
+func lose([]byte) (bool, error) { return false, errLost }
+
+// TestSubmitResponseLost guards against an append that took effect, whose response was lost, and that is reported as
+// failed or counted again.
+func TestSubmitResponseLost(t *testing.T) {
+	log := newFakeLog()
+	log.appends = func([]byte) (bool, error) { return true, errLost }
+	p := startProcess(t, log, clockwork.NewRealClock(), "e1", 0)
+	result, err := p.writer.Submit(submitContext(t, time.Minute), accept("a"))
+	require.NoError(t, err)
+	require.Equal(t, int64(0), result.Offset)
+	require.True(t, result.Changes[0].Applied)
+	require.Len(t, p.jobs.Live("e1"), 1)
+}
+
+// TestSubmitLateCopy guards against a delayed append that appears behind younger batches and takes effect again.
+func TestSubmitLateCopy(t *testing.T) {
+	log := newFakeLog()
+	var delayed []byte
+	log.appends = func(data []byte) (bool, error) {
+		if delayed == nil {
+			delayed = data
+			return false, errLost
+		}
+		return true, nil
+	}
+	p := startProcess(t, log, clockwork.NewRealClock(), "e1", 0)
+	first, err := p.writer.Submit(submitContext(t, time.Minute), claim("e1"))
+	require.NoError(t, err)
+	_, err = p.writer.Submit(submitContext(t, time.Minute), accept("a"))
+	require.NoError(t, err)
+	log.mu.Lock()
+	late := log.add(delayed)
+	log.mu.Unlock()
+	require.Eventually(t, func() bool { return p.jobs.Next() == late+1 }, time.Minute, time.Millisecond)
+	term, _ := p.jobs.Claim()
+	require.Equal(t, first.Offset, term.GetOffset())
+}
+
+func claim(placer string) *peerpb.Record {
+	return &peerpb.Record{
+		Kind: &peerpb.Record_Claim{
+			Claim: &peerpb.Claim{
+				Placer: placer,
+			},
+		},
+	}
+}
+
+// TestSubmitGivesUp guards against "not appended" for records that may be in the log, and "unknown" for records that
+// cannot be.
+func TestSubmitGivesUp(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault func([]byte) (bool, error)
+		want  error
+		live  int
+	}{
+		{
+			name:  "refused every time",
+			fault: refuse,
+			want:  ErrNotAppended,
+			live:  0,
+		},
+		{
+			name:  "lost every time",
+			fault: lose,
+			want:  ErrUnknown,
+			live:  1,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			log := newFakeLog()
+			log.appends = test.fault
+			p := startProcess(t, log, clockwork.NewRealClock(), "e1", 0)
+			_, err := p.writer.Submit(submitContext(t, 200*time.Millisecond), accept("a"))
+			require.ErrorIs(t, err, test.want)
+			require.ErrorIs(t, err, context.DeadlineExceeded)
+			log.fault(nil)
+			_, err = p.writer.Submit(submitContext(t, time.Minute), claim("e1"))
+			require.NoError(t, err)
+			require.Len(t, p.jobs.Live(""), test.live)
+		})
+	}
+}
+
+// TestLogDown guards against a queue that grows without bound, a busy loop, and records that are lost or reordered
+// while the log is down for a minute.
+func TestLogDown(t *testing.T) {
+	log := newFakeLog()
+	log.appends = refuse
+	clock := clockwork.NewFakeClock()
+	p := startProcess(t, log, clock, "e1", 2)
+	ends := make(chan error, 3)
+	submit := func(id string) {
+		_, err := p.writer.Submit(t.Context(), accept(id))
+		ends <- err
+	}
+	go submit("a")
+	advance(t, clock, time.Minute, func() bool { return log.appendCalls() >= 1 })
+	go submit("b")
+	go submit("c")
+	require.Eventually(t, func() bool { return p.writer.queued() == 2 }, time.Minute, time.Millisecond)
+	_, err := p.writer.Submit(t.Context(), accept("d"))
+	require.ErrorIs(t, err, ErrFull)
+	require.ErrorIs(t, err, ErrNotAppended)
+	began := clock.Now()
+	advance(t, clock, time.Minute, func() bool { return clock.Since(began) >= time.Minute })
+	require.Less(t, log.appendCalls(), 400)
+	log.fault(nil)
+	advance(t, clock, time.Minute, func() bool { return len(ends) == 3 })
+	for range 3 {
+		require.NoError(t, <-ends)
+	}
+	require.Len(t, p.jobs.Live(""), 3)
+}
+
+// advance moves a fake clock in small steps until a condition holds.
+func advance(t *testing.T, clock *clockwork.FakeClock, limit time.Duration, done func() bool) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		if !done() {
+			clock.Advance(50 * time.Millisecond)
+		}
+		return done()
+	}, limit, 200*time.Microsecond)
+}
+
+func (l *fakeLog) appendCalls() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls
+}
+
+func (w *Writer) queued() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.queue)
+}
+
+// TestBatching guards against one append per record, which the log's several hundred appends per second do not allow.
+func TestBatching(t *testing.T) {
+	log := newFakeLog()
+	release := make(chan struct{})
+	log.appends = func([]byte) (bool, error) {
+		<-release
+		return true, nil
+	}
+	p := startProcess(t, log, clockwork.NewRealClock(), "e1", 0)
+	ends := make(chan error, 101)
+	submit := func(id string) {
+		result, err := p.writer.Submit(t.Context(), accept(id))
+		if err == nil && result.Changes[0].Job != id {
+			err = errors.New("change of another record")
+		}
+		ends <- err
+	}
+	go submit("first")
+	require.Eventually(t, func() bool { return p.writer.queued() == 0 }, time.Minute, time.Millisecond)
+	for i := range 100 {
+		go submit(fmt.Sprint("job", i))
+	}
+	// The first append is in flight or the first batch still waits for others.
+	require.Eventually(t, func() bool { return p.writer.queued() >= 99 }, time.Minute, time.Millisecond)
+	close(release)
+	for range 101 {
+		require.NoError(t, <-ends)
+	}
+	require.LessOrEqual(t, log.appendCalls(), 3)
+}
+
+// TestCarryReachesNewReader guards against carries that a reader cannot use when everything before them is truncated,
+// whether the carrying process has written before or not, and against carries of jobs that are not live.
+func TestCarryReachesNewReader(t *testing.T) {
+	log := newFakeLog()
+	owner := startProcess(t, log, clockwork.NewRealClock(), "e1", 0)
+	_, err := owner.writer.Submit(t.Context(), accept("a"), accept("b"))
+	require.NoError(t, err)
+	for i, p := range []process{owner, startProcess(t, log, clockwork.NewRealClock(), "e2", 0)} {
+		require.NoError(t, p.follower.WaitCurrent(t.Context(), clockwork.NewRealClock().Now()))
+		log.truncate()
+		changes, carryErr := p.writer.Carry(t.Context(), "a", "ended", "b")
+		require.NoError(t, carryErr)
+		require.Len(t, changes, 2)
+		reader := startProcess(t, log, clockwork.NewRealClock(), fmt.Sprint("reader", i), 0)
+		require.NoError(t, reader.follower.WaitCurrent(t.Context(), clockwork.NewRealClock().Now()))
+		require.Len(t, reader.jobs.Live("e1"), 2)
+		require.Positive(t, reader.follower.Status().Skipped)
+	}
+	_, err = owner.writer.Submit(t.Context(), owner.jobs.Carry("a"))
+	require.ErrorIs(t, err, ErrNotAppended)
+}
+
+// truncate drops every record.
+func (l *fakeLog) truncate() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.first += int64(len(l.records))
+	l.records = nil
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -158,6 +158,20 @@
 	return l.next
 }
 
+// Skip tells that the records from Next up to an offset were truncated before they were folded. Live jobs are then
+// unknown until a carry restates them; ended and void ids stay, because their state is final.
+func (l *Ledger) Skip(to int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next = max(l.next, to)
+	l.writers = map[string]*sequences{}
+	for id, e := range l.entries {
+		if !e.state.Voided {
+			delete(l.entries, id)
+		}
+	}
+}
+
 func (l *Ledger) apply(offset int64, id string, record *peerpb.Record, based bool) Reason {
 	if claim := record.GetClaim(); claim != nil {
 		l.claim = claim
