Serve jobs to callers over HTTP

Cause: callers need one place to submit, look up and cancel jobs, and an error may only mean that nothing was run. Change: package caller: routes, findings all at once, tokens by hash in constant time, limits, readiness, shutdown that answers waiting calls with the current state.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,285 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"radishpath.example/radishpath/peer/peerpb"
+)
+
+// newConfig returns a configuration whose functions answer for workspace weddings.
+func newConfig() ServerConfig {
+	running := func(id string) (Status, error) {
+		return Status{
+			ID:        id,
+			State:     StateRunning,
+			Workspace: "weddings",
+		}, nil
+	}
+	return ServerConfig{
+		Clock: clockwork.NewRealClock(),
+		Submit: func(_ context.Context, job *peerpb.Job, _ time.Duration) (Status, error) {
+			return running(job.GetId())
+		},
+		Lookup: func(_ context.Context, _, id string, _ time.Duration) (Status, error) { return running(id) },
+		Cancel: func(_ context.Context, _, id string) (Status, error) { return running(id) },
+		Authenticate: NewTokens(map[string][]string{
+			"weddings": {fmt.Sprintf("sha256:%x", sha256.Sum256([]byte("secret")))},
+			"broken":   {"sha256:00", ""},
+		}).Authenticate,
+		Ready: func() error { return nil },
+	}
+}
+
+func call(t *testing.T, handler http.Handler, method, path, token, body string) (int, string) {
+	t.Helper()
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+token)
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder.Code, recorder.Body.String()
+}
+
+// TestOutcomes guards against a caller who is told that a job is not run, or does not exist, when that is not certain.
+func TestOutcomes(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		state  State
+		err    error
+		post   int
+		get    int
+		remove int
+	}{
+		{name: "done", state: StateDone, post: 200, get: 200, remove: 200},
+		{name: "lost", state: StateLost, post: 200, get: 200, remove: 200},
+		{name: "queued", state: StateQueued, post: 202, get: 202, remove: 202},
+		{name: "unknown", state: StateUnknown, post: 202, get: 202, remove: 202},
+		{name: "over a limit", err: fmt.Errorf("rate: %w", ErrLimit), post: 429, get: 202, remove: 202},
+		{name: "not accepted", err: fmt.Errorf("log: %w", ErrNotAccepted), post: 503, get: 202, remove: 202},
+		{name: "not found", err: fmt.Errorf("no: %w", ErrNotFound), post: 202, get: 404, remove: 404},
+		{name: "other error", err: errors.New("timeout"), post: 202, get: 202, remove: 202},
+		{name: "findings", err: Findings{{Field: "members", Problem: "too many"}}, post: 400, get: 202, remove: 202},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			status := Status{
+				ID:        "a",
+				State:     test.state,
+				Workspace: "weddings",
+			}
+			config := newConfig()
+			config.Submit = func(context.Context, *peerpb.Job, time.Duration) (Status, error) { return status, test.err }
+			config.Lookup = func(context.Context, string, string, time.Duration) (Status, error) { return status, test.err }
+			config.Cancel = func(context.Context, string, string) (Status, error) { return status, test.err }
+			handler := NewServer(config).Handler()
+			code, body := call(t, handler, http.MethodPost, "/v1/jobs", "secret", `{"id":"a"}`)
+			require.Equal(t, test.post, code, body)
+			code, body = call(t, handler, http.MethodGet, "/v1/jobs/a", "secret", "")
+			require.Equal(t, test.get, code, body)
+			code, body = call(t, handler, http.MethodDelete, "/v1/jobs/a", "secret", "")
+			require.Equal(t, test.remove, code, body)
+		})
+	}
+}
+
+// TestFindings guards against findings that are reported one at a time, unknown fields that are dropped, and invalid
+// jobs that are submitted.
+func TestFindings(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		path string
+		body string
+		want []string
+	}{
+		{
+			name: "several at once",
+			path: "/v1/jobs?wait=soon",
+			body: `{"id":"a/b","members":0,"accelerators":"x","memory":1.5,"scope":"house","declared":"10","prio":1,"zz":2}`,
+			want: []string{"wait", "accelerators", "declared", "id", "memory", "prio", "scope", "zz", "members"},
+		},
+		{name: "not an object", path: "/v1/jobs", body: `[1]`, want: []string{""}},
+		{name: "cut off", path: "/v1/jobs", body: `{"id":"a"`, want: []string{""}},
+		{name: "trailing data", path: "/v1/jobs", body: `{"id":"a"}{}`, want: []string{""}},
+		{name: "field twice", path: "/v1/jobs", body: `{"idempotent":false,"idempotent":true}`, want: []string{""}},
+		{name: "too many members", path: "/v1/jobs", body: `{"members":1025}`, want: []string{"members"}},
+		{name: "negative deadline", path: "/v1/jobs", body: `{"deadline":"-1s"}`, want: []string{"deadline"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			config := newConfig()
+			config.Submit = func(context.Context, *peerpb.Job, time.Duration) (Status, error) {
+				t.Error("an invalid job was submitted")
+				return Status{}, nil
+			}
+			code, body := call(t, NewServer(config).Handler(), http.MethodPost, test.path, "secret", test.body)
+			require.Equal(t, http.StatusBadRequest, code)
+			var reply struct{ Findings []Finding }
+			require.NoError(t, json.Unmarshal([]byte(body), &reply))
+			var fields []string
+			for _, finding := range reply.Findings {
+				fields = append(fields, finding.Field)
+			}
+			require.Equal(t, test.want, fields, body)
+		})
+	}
+}
+
+// TestSubmissionIsPassedOn guards against a payload or a field that changes on its way.
+func TestSubmissionIsPassedOn(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	config := newConfig()
+	config.Clock = clock
+	var job *peerpb.Job
+	config.Submit = func(_ context.Context, got *peerpb.Job, wait time.Duration) (Status, error) {
+		job = got
+		require.Equal(t, maxWait, wait)
+		return Status{
+			State:     StateQueued,
+			Workspace: "weddings",
+		}, nil
+	}
+	code, _ := call(t, NewServer(config).Handler(), http.MethodPost, "/v1/jobs?wait=10h", "secret",
+		`{"idempotent":true,"members":2,"memory":7,"scope":"rack","declared":"10m","deadline":"30s","payload":{"b": 1.0}}`)
+	require.Equal(t, http.StatusAccepted, code)
+	require.NotEmpty(t, job.GetId())
+	require.Equal(t, "weddings", job.GetWorkspace())
+	require.Equal(t, `{"b": 1.0}`, string(job.GetPayload()))
+	require.Equal(t, peerpb.Scope_SCOPE_RACK, job.GetScope())
+	require.Equal(t, int64(7), job.GetMemoryBytes())
+	require.Equal(t, 10*time.Minute, job.GetDeclared().AsDuration())
+	require.True(t, clock.Now().Add(30*time.Second).Equal(job.GetDeadline().AsTime()))
+}
+
+// TestWorkspaces guards against callers without a token, and against one that learns of another workspace's job.
+func TestWorkspaces(t *testing.T) {
+	config := newConfig()
+	config.Lookup = func(_ context.Context, _, id string, _ time.Duration) (Status, error) {
+		if id == "absent" {
+			return Status{}, ErrNotFound
+		}
+		return Status{
+			ID:        id,
+			State:     StateDone,
+			Workspace: "funerals",
+			Answer:    "private",
+		}, nil
+	}
+	config.Cancel = func(ctx context.Context, workspace, id string) (Status, error) {
+		return config.Lookup(ctx, workspace, id, 0)
+	}
+	config.Submit = func(ctx context.Context, job *peerpb.Job, wait time.Duration) (Status, error) {
+		return config.Lookup(ctx, "", job.GetId(), wait)
+	}
+	handler := NewServer(config).Handler()
+	for _, method := range []string{http.MethodGet, http.MethodDelete} {
+		code, body := call(t, handler, method, "/v1/jobs/foreign", "secret", "")
+		absentCode, absentBody := call(t, handler, method, "/v1/jobs/absent", "secret", "")
+		require.Equal(t, http.StatusNotFound, code)
+		require.Equal(t, absentCode, code)
+		require.Equal(t, absentBody, body)
+	}
+	code, body := call(t, handler, http.MethodPost, "/v1/jobs", "secret", `{"id":"foreign"}`)
+	require.Equal(t, http.StatusBadRequest, code)
+	require.NotContains(t, body, "private")
+	for _, token := range []string{"", "wrong", "sha256:00"} {
+		code, _ = call(t, handler, http.MethodGet, "/v1/jobs/a", token, "")
+		require.Equal(t, http.StatusUnauthorized, code)
+	}
+}
+
+// TestLimits guards against bodies and numbers of calls that exhaust the process.
+func TestLimits(t *testing.T) {
+	config := newConfig()
+	config.Waiting = 1
+	config.Calls = 2
+	entered := make(chan time.Duration, 2)
+	release := make(chan struct{})
+	config.Lookup = func(_ context.Context, workspace, id string, wait time.Duration) (Status, error) {
+		entered <- wait
+		<-release
+		return Status{
+			ID:        id,
+			State:     StateQueued,
+			Workspace: workspace,
+		}, nil
+	}
+	handler := NewServer(config).Handler()
+	codes := make(chan int, 2)
+	for _, want := range []time.Duration{time.Second, 0} {
+		go func() {
+			code, _ := call(t, handler, http.MethodGet, "/v1/jobs/a?wait=1s", "secret", "")
+			codes <- code
+		}()
+		require.Equal(t, want, <-entered)
+	}
+	code, _ := call(t, handler, http.MethodPost, "/v1/jobs", "secret", `{}`)
+	require.Equal(t, http.StatusServiceUnavailable, code)
+	close(release)
+	require.Equal(t, []int{http.StatusAccepted, http.StatusAccepted}, []int{<-codes, <-codes})
+	large := `{"payload":"` + strings.Repeat("x", maxBodyBytes) + `"}`
+	code, _ = call(t, handler, http.MethodPost, "/v1/jobs", "secret", large)
+	require.Equal(t, http.StatusRequestEntityTooLarge, code)
+}
+
+// TestShutdown guards against a shutdown that interrupts a waiting call, or that the load balancer cannot see before
+// calls are cut short.
+func TestShutdown(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	clock := clockwork.NewFakeClock()
+	config := newConfig()
+	config.Clock = clock
+	entered := make(chan struct{})
+	config.Submit = func(ctx context.Context, _ *peerpb.Job, _ time.Duration) (Status, error) {
+		close(entered)
+		<-ctx.Done()
+		return Status{}, context.Cause(ctx)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- NewServer(config).Serve(ctx, listener) }()
+	answers := make(chan string, 1)
+	url := "http://" + listener.Addr().String()
+	go func() { answers <- send(t, http.MethodPost, url+"/v1/jobs?wait=50s", `{"id":"a"}`) }()
+	<-entered
+	require.Contains(t, send(t, http.MethodGet, url+"/readyz", ""), "200")
+	cancel()
+	require.Eventually(t, func() bool {
+		return strings.HasPrefix(send(t, http.MethodGet, url+"/readyz", ""), "503")
+	}, time.Minute, time.Millisecond)
+	require.Empty(t, answers)
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 2))
+	clock.Advance(defaultDrain)
+	require.Equal(t, `202 {"id":"a","state":"running","workspace":"weddings","answer":"","reasons":[]}`, <-answers)
+	require.NoError(t, <-done)
+}
+
+func send(t *testing.T, method, url, body string) string {
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	request.Header.Set("Authorization", "Bearer secret")
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(response.StatusCode, " ", string(data))
+}
