Order methods by name

Change: functions moved within their files, exported ones first as in package peer; no other change. Measured: go test -race -count=4 of the four packages passes. Conclusion: none.

--- a/caller/server.go
+++ b/caller/server.go
@@ -228,6 +228,39 @@
 	s.report(w, workspace, id, status, err)
 }
 
+// readSubmission returns the job and the wait, or answers with every finding.
+func (s *Server) readSubmission(w http.ResponseWriter, r *http.Request, workspace string) (
+	*peerpb.Job, time.Duration, bool,
+) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		s.refuse(w, http.StatusRequestEntityTooLarge, "", fmt.Sprintf("body is larger than %d bytes", maxBodyBytes))
+		return nil, 0, false
+	}
+	if err != nil {
+		s.refuse(w, http.StatusBadRequest, "", "body could not be read")
+		return nil, 0, false
+	}
+	wait, waitErr := parseWait(r)
+	job, jobErr := parseSubmission(body, workspace, s.config.Clock.Now())
+	var findings Findings
+	for _, err = range []error{waitErr, jobErr} {
+		var found Findings
+		if errors.As(err, &found) {
+			findings = append(findings, found...)
+		}
+	}
+	if len(findings) > 0 {
+		s.replyFindings(w, http.StatusBadRequest, findings)
+		return nil, 0, false
+	}
+	if job.GetId() == "" {
+		job.Id = uuid.NewString()
+	}
+	return job, wait, true
+}
+
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	err := s.config.Ready()
 	if s.leaving.Err() != nil {
@@ -362,39 +395,6 @@
 	s.report(w, workspace, job.GetId(), status, err)
 }
 
-// readSubmission returns the job and the wait, or answers with every finding.
-func (s *Server) readSubmission(w http.ResponseWriter, r *http.Request, workspace string) (
-	*peerpb.Job, time.Duration, bool,
-) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		s.refuse(w, http.StatusRequestEntityTooLarge, "", fmt.Sprintf("body is larger than %d bytes", maxBodyBytes))
-		return nil, 0, false
-	}
-	if err != nil {
-		s.refuse(w, http.StatusBadRequest, "", "body could not be read")
-		return nil, 0, false
-	}
-	wait, waitErr := parseWait(r)
-	job, jobErr := parseSubmission(body, workspace, s.config.Clock.Now())
-	var findings Findings
-	for _, err = range []error{waitErr, jobErr} {
-		var found Findings
-		if errors.As(err, &found) {
-			findings = append(findings, found...)
-		}
-	}
-	if len(findings) > 0 {
-		s.replyFindings(w, http.StatusBadRequest, findings)
-		return nil, 0, false
-	}
-	if job.GetId() == "" {
-		job.Id = uuid.NewString()
-	}
-	return job, wait, true
-}
-
 // isDefinite says that the job is not run.
 func isDefinite(err error) bool {
 	var findings Findings
--- a/caller/submission.go
+++ b/caller/submission.go
@@ -37,37 +37,6 @@
 	findings Findings
 }
 
-// parseSubmission returns the job of a body, or all findings.
-func parseSubmission(body []byte, workspace string, now time.Time) (*peerpb.Job, error) {
-	s := submission{
-		job: &peerpb.Job{
-			Workspace: workspace,
-			Members:   1,
-			Scope:     peerpb.Scope_SCOPE_WORKER,
-			Accepted:  timestamppb.New(now),
-		},
-	}
-	fields, err := decodeObject(body)
-	if err != nil {
-		s.findings.add("", err.Error())
-		return nil, s.findings
-	}
-	for _, name := range sortedNames(fields) {
-		s.parse(name, fields[name])
-	}
-	s.check()
-	if len(s.findings) > 0 {
-		return nil, s.findings
-	}
-	if s.declared > 0 {
-		s.job.Declared = durationpb.New(s.declared)
-	}
-	if s.deadline > 0 {
-		s.job.Deadline = timestamppb.New(now.Add(s.deadline))
-	}
-	return s.job, nil
-}
-
 func (s *submission) check() {
 	s.limit("members", int64(s.job.GetMembers()), 1, maxMembers)
 	s.limit("accelerators", int64(s.job.GetAccelerators()), 0, maxAccelerators)
@@ -78,6 +47,20 @@
 	}
 }
 
+// decode reports whether the value fits the type of the target.
+func (s *submission) decode(name string, raw json.RawMessage, target any) bool {
+	if err := json.Unmarshal(raw, target); err != nil {
+		var mismatch *json.UnmarshalTypeError
+		problem := "is not valid"
+		if errors.As(err, &mismatch) {
+			problem = fmt.Sprintf("must be a %s, is %s", typeName(mismatch), mismatch.Value)
+		}
+		s.findings.add(name, problem)
+		return false
+	}
+	return true
+}
+
 func (s *submission) limit(field string, value, low, high int64) {
 	if value < low || value > high {
 		s.findings.add(field, fmt.Sprintf("is %d, must be from %d to %d", value, low, high))
@@ -115,20 +98,6 @@
 	}
 }
 
-// decode reports whether the value fits the type of the target.
-func (s *submission) decode(name string, raw json.RawMessage, target any) bool {
-	if err := json.Unmarshal(raw, target); err != nil {
-		var mismatch *json.UnmarshalTypeError
-		problem := "is not valid"
-		if errors.As(err, &mismatch) {
-			problem = fmt.Sprintf("must be a %s, is %s", typeName(mismatch), mismatch.Value)
-		}
-		s.findings.add(name, problem)
-		return false
-	}
-	return true
-}
-
 func (s *submission) parseID(raw json.RawMessage) {
 	if !s.decode("id", raw, &s.job.Id) || s.job.GetId() == "" {
 		return
@@ -198,6 +167,41 @@
 	return fields, nil
 }
 
+func isOutsideID(r rune) bool {
+	return !strings.ContainsRune(idCharacters, r)
+}
+
+// parseSubmission returns the job of a body, or all findings.
+func parseSubmission(body []byte, workspace string, now time.Time) (*peerpb.Job, error) {
+	s := submission{
+		job: &peerpb.Job{
+			Workspace: workspace,
+			Members:   1,
+			Scope:     peerpb.Scope_SCOPE_WORKER,
+			Accepted:  timestamppb.New(now),
+		},
+	}
+	fields, err := decodeObject(body)
+	if err != nil {
+		s.findings.add("", err.Error())
+		return nil, s.findings
+	}
+	for _, name := range sortedNames(fields) {
+		s.parse(name, fields[name])
+	}
+	s.check()
+	if len(s.findings) > 0 {
+		return nil, s.findings
+	}
+	if s.declared > 0 {
+		s.job.Declared = durationpb.New(s.declared)
+	}
+	if s.deadline > 0 {
+		s.job.Deadline = timestamppb.New(now.Add(s.deadline))
+	}
+	return s.job, nil
+}
+
 func sortedNames(fields map[string]json.RawMessage) []string {
 	names := make([]string, 0, len(fields))
 	for name := range fields {
@@ -224,7 +228,3 @@
 	}
 	return strings.IndexFunc(id, isOutsideID) < 0
 }
-
-func isOutsideID(r rune) bool {
-	return !strings.ContainsRune(idCharacters, r)
-}
--- a/journal/batch.go
+++ b/journal/batch.go
@@ -60,16 +60,6 @@
 	close(b.settled)
 }
 
-// isSettled says that the batch was folded or given up.
-func (b *batch) isSettled() bool {
-	select {
-	case <-b.settled:
-		return true
-	default:
-		return false
-	}
-}
-
 // fold ends every submission with its part of the changes.
 func (b *batch) fold(offset int64, changes []ledger.Change) {
 	for _, s := range b.submissions {
@@ -85,3 +75,13 @@
 	b.folded = true
 	close(b.settled)
 }
+
+// isSettled says that the batch was folded or given up.
+func (b *batch) isSettled() bool {
+	select {
+	case <-b.settled:
+		return true
+	default:
+		return false
+	}
+}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -195,6 +195,18 @@
 	return nil
 }
 
+// carryCount returns how many of the first ids make a batch of about maxCarryBytes; at least one.
+func (w *Writer) carryCount(ids []string) int {
+	var bytes int
+	for i, id := range ids {
+		if i > 0 && bytes > maxCarryBytes {
+			return i
+		}
+		bytes += proto.Size(w.config.Ledger.Carry(id))
+	}
+	return len(ids)
+}
+
 // compose writes the carries of a group and returns the submissions to append.
 func (w *Writer) compose(ctx context.Context, group []*submission) []*submission {
 	if !hasCarry(group) {
@@ -223,6 +235,42 @@
 	return rest
 }
 
+// discard forgets a batch without submissions.
+func (w *Writer) discard(b *batch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.awaiting, b.sequence)
+}
+
+// drop removes a submission from the queue.
+func (w *Writer) drop(s *submission) {
+	for i, queued := range w.queue {
+		if queued == s {
+			w.queue = append(w.queue[:i], w.queue[i+1:]...)
+			w.bytes -= s.bytes
+			return
+		}
+	}
+}
+
+func (w *Writer) enqueue(s *submission) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return fmt.Errorf("%w: writer stopped", ErrNotAppended)
+	}
+	if len(w.queue) >= w.config.Queue || w.bytes+s.bytes > maxQueueBytes {
+		return errors.Join(ErrNotAppended, ErrFull)
+	}
+	w.queue = append(w.queue, s)
+	w.bytes += s.bytes
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
 // gather waits for submissions and takes the next group from the queue.
 func (w *Writer) gather(ctx context.Context) []*submission {
 	for ctx.Err() == nil {
@@ -277,6 +325,19 @@
 	return b, nil
 }
 
+// reject ends every submission of a group with an error.
+func (w *Writer) reject(group []*submission, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range group {
+		if s.exposure != withdrawn {
+			s.finish(outcome{
+				err: err,
+			})
+		}
+	}
+}
+
 // requeue puts a group that was not sent back to the front of the queue.
 func (w *Writer) requeue(group []*submission) {
 	w.mu.Lock()
@@ -375,55 +436,6 @@
 	return Result{}, fmt.Errorf("%w: %w", ErrUnknown, context.Cause(ctx))
 }
 
-// discard forgets a batch without submissions.
-func (w *Writer) discard(b *batch) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.awaiting, b.sequence)
-}
-
-// drop removes a submission from the queue.
-func (w *Writer) drop(s *submission) {
-	for i, queued := range w.queue {
-		if queued == s {
-			w.queue = append(w.queue[:i], w.queue[i+1:]...)
-			w.bytes -= s.bytes
-			return
-		}
-	}
-}
-
-func (w *Writer) enqueue(s *submission) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped {
-		return fmt.Errorf("%w: writer stopped", ErrNotAppended)
-	}
-	if len(w.queue) >= w.config.Queue || w.bytes+s.bytes > maxQueueBytes {
-		return errors.Join(ErrNotAppended, ErrFull)
-	}
-	w.queue = append(w.queue, s)
-	w.bytes += s.bytes
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
-	return nil
-}
-
-// reject ends every submission of a group with an error.
-func (w *Writer) reject(group []*submission, err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, s := range group {
-		if s.exposure != withdrawn {
-			s.finish(outcome{
-				err: err,
-			})
-		}
-	}
-}
-
 // take removes the next group from the queue.
 func (w *Writer) take() []*submission {
 	w.mu.Lock()
@@ -457,18 +469,6 @@
 	}
 }
 
-// carryCount returns how many of the first ids make a batch of about maxCarryBytes; at least one.
-func (w *Writer) carryCount(ids []string) int {
-	var bytes int
-	for i, id := range ids {
-		if i > 0 && bytes > maxCarryBytes {
-			return i
-		}
-		bytes += proto.Size(w.config.Ledger.Carry(id))
-	}
-	return len(ids)
-}
-
 func hasCarry(group []*submission) bool {
 	for _, s := range group {
 		if s.carry != nil {
--- a/ledger/entry.go
+++ b/ledger/entry.go
@@ -19,29 +19,6 @@
 	last int64
 }
 
-// apply folds one record other than a claim. The based parameter says that a carry may be used.
-func (e *entry) apply(offset int64, record *peerpb.Record, based bool) Reason {
-	e.last = offset
-	if e.known {
-		return e.applyKnown(offset, record)
-	}
-	switch {
-	case record.GetAccept() != nil:
-		return e.accept(offset, record)
-	case record.GetCarry() != nil && based:
-		return e.carry(offset, record.GetCarry())
-	}
-	reason := e.reasonUnknown(record)
-	e.pending = append(e.pending, pendingRecord{
-		offset: offset,
-		record: withoutAnswer(record),
-	})
-	if record.GetVoid() != nil {
-		e.state.Voided = true
-	}
-	return reason
-}
-
 func (e *entry) accept(offset int64, record *peerpb.Record) Reason {
 	if e.state.Voided {
 		return ReasonVoid
@@ -72,6 +49,29 @@
 	return ""
 }
 
+// apply folds one record other than a claim. The based parameter says that a carry may be used.
+func (e *entry) apply(offset int64, record *peerpb.Record, based bool) Reason {
+	e.last = offset
+	if e.known {
+		return e.applyKnown(offset, record)
+	}
+	switch {
+	case record.GetAccept() != nil:
+		return e.accept(offset, record)
+	case record.GetCarry() != nil && based:
+		return e.carry(offset, record.GetCarry())
+	}
+	reason := e.reasonUnknown(record)
+	e.pending = append(e.pending, pendingRecord{
+		offset: offset,
+		record: withoutAnswer(record),
+	})
+	if record.GetVoid() != nil {
+		e.state.Voided = true
+	}
+	return reason
+}
+
 func (e *entry) applyKnown(offset int64, record *peerpb.Record) Reason {
 	if e.state.End != nil {
 		return reasonEnded(record)
@@ -203,18 +203,6 @@
 	return ""
 }
 
-// withoutAnswer drops the body of an answer, because pending records stay until the log's retention ends.
-func withoutAnswer(record *peerpb.Record) *peerpb.Record {
-	if record.GetEnd() == nil {
-		return record
-	}
-	return &peerpb.Record{
-		Kind: &peerpb.Record_End{
-			End: withoutBody(record.GetEnd()),
-		},
-	}
-}
-
 func reasonEnded(record *peerpb.Record) Reason {
 	if record.GetAccept() != nil || record.GetVoid() != nil {
 		return ReasonAlreadyAccepted
@@ -228,3 +216,15 @@
 	}
 	return ReasonUnknownJob
 }
+
+// withoutAnswer drops the body of an answer, because pending records stay until the log's retention ends.
+func withoutAnswer(record *peerpb.Record) *peerpb.Record {
+	if record.GetEnd() == nil {
+		return record
+	}
+	return &peerpb.Record{
+		Kind: &peerpb.Record_End{
+			End: withoutBody(record.GetEnd()),
+		},
+	}
+}
--- a/ledger/sequences.go
+++ b/ledger/sequences.go
@@ -43,6 +43,11 @@
 	return true
 }
 
+// based reports whether the batch before the sequence was folded, so that a carry in this batch may be used.
+func (s *sequences) based(sequence uint64) bool {
+	return s != nil && sequence > 0 && s.has(sequence-1)
+}
+
 func (s *sequences) has(sequence uint64) bool {
 	i := s.search(sequence)
 	return i < len(s.spans) && s.spans[i].low <= sequence
@@ -52,8 +57,3 @@
 func (s *sequences) search(sequence uint64) int {
 	return sort.Search(len(s.spans), func(i int) bool { return s.spans[i].high >= sequence })
 }
-
-// based reports whether the batch before the sequence was folded, so that a carry in this batch may be used.
-func (s *sequences) based(sequence uint64) bool {
-	return s != nil && sequence > 0 && s.has(sequence-1)
-}
--- a/routing/router.go
+++ b/routing/router.go
@@ -209,6 +209,18 @@
 	return all + server.Outstanding, large + announcedLarge, work
 }
 
+// place counts a request as sent.
+func (l *load) place(now time.Time, request *Request, choice Choice) {
+	l.sent[request.Job] = sent{
+		at:       now,
+		estimate: choice.Estimate,
+		large:    choice.Large,
+	}
+	if l.failures >= failureLimit {
+		l.probe = request.Job
+	}
+}
+
 // prune drops servers that are gone.
 func (r *Router) prune(now time.Time) {
 	if now.Sub(r.pruned) < forgetAfter {
@@ -222,16 +234,23 @@
 	}
 }
 
-// place counts a request as sent.
-func (l *load) place(now time.Time, request *Request, choice Choice) {
-	l.sent[request.Job] = sent{
-		at:       now,
-		estimate: choice.Estimate,
-		large:    choice.Large,
-	}
-	if l.failures >= failureLimit {
-		l.probe = request.Job
+// hash orders servers of equal cost differently for each job, so that several entries do not choose the same one. It
+// is FNV-1a.
+func hash(job, server string) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	h := uint64(offset)
+	for _, text := range []string{job, server} {
+		for i := range len(text) {
+			h = (h ^ uint64(text[i])) * prime
+		}
 	}
+	return h
+}
+
+// largeSlots returns how many slots large requests may use: three quarters, at least one, and not all unless there is
+// only one.
+func largeSlots(slots int) int {
+	return max(slots*largeShare/4, 1)
 }
 
 // passOver returns why a server cannot take the request, or nothing.
@@ -258,22 +277,3 @@
 	}
 	return ""
 }
-
-// largeSlots returns how many slots large requests may use: three quarters, at least one, and not all unless there is
-// only one.
-func largeSlots(slots int) int {
-	return max(slots*largeShare/4, 1)
-}
-
-// hash orders servers of equal cost differently for each job, so that several entries do not choose the same one. It
-// is FNV-1a.
-func hash(job, server string) uint64 {
-	const offset, prime = 14695981039346656037, 1099511628211
-	h := uint64(offset)
-	for _, text := range []string{job, server} {
-		for i := range len(text) {
-			h = (h ^ uint64(text[i])) * prime
-		}
-	}
-	return h
-}
