--- a/document/document_test.go
+++ b/document/document_test.go
@@ -48,7 +48,7 @@
 func TestParseReportsAllFindings(t *testing.T) {
 	text := `share = 1
 [service]
-nmae = desk
+nane = desk
 [zone "curepipe"]
 state = away
 [workspace]
@@ -69,7 +69,7 @@
 	_, err := Parse("d.ini", []byte(text))
 	want := []string{
 		`d.ini:1: share: stands before the first section`,
-		`d.ini:3: [service] nmae: unknown key; did you mean name?`,
+		`d.ini:3: [service] nane: unknown key; did you mean name?`,
 		`d.ini:5: [zone "curepipe"] state: "away" is not in or out`,
 		`d.ini:6: [workspace] needs a name: [workspace "name"]`,
 		`d.ini:8: [workspace "a"] guarantee: "3x0@rack": accelerators must be a whole number between 1 and 64`,
