--- a/settings/credentials_test.go
+++ b/settings/credentials_test.go
@@ -79,7 +79,7 @@
 	t.Helper()
 	listener, err := tls.Listen("tcp", "127.0.0.1:0", server)
 	require.NoError(t, err)
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	done := make(chan error, 1)
 	go func() {
 		conn, acceptErr := listener.Accept()
@@ -87,16 +87,15 @@
 			done <- acceptErr
 			return
 		}
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()
 		_, writeErr := conn.Write([]byte("x"))
 		done <- writeErr
 	}()
 	conn, err := tls.Dial("tcp", listener.Addr().String(), client)
 	if err != nil {
-		<-done
-		return err
+		return errors.Join(err, <-done)
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	_, err = conn.Read(make([]byte, 1))
 	return errors.Join(err, <-done)
 }
