Add the commands for operators and callers

Cause: operators edit, check and publish the document from a shell, and callers submit jobs from one.

--- /dev/null
+++ b/caller/callerclient/error.go
@@ -0,0 +1,37 @@
+package callerclient
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// Finding is one fault of a call.
+type Finding struct {
+	Field   string `json:"field"`
+	Problem string `json:"problem"`
+}
+
+// Error is an error reply.
+type Error struct {
+	// Code is the HTTP status.
+	Code     int       `json:"-"`
+	Findings []Finding `json:"findings"`
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if len(e.Findings) == 0 {
+		return fmt.Sprintf("status %d %s", e.Code, http.StatusText(e.Code))
+	}
+	lines := make([]string, 0, len(e.Findings))
+	for _, finding := range e.Findings {
+		lines = append(lines, strings.TrimPrefix(finding.Field+": "+finding.Problem, ": "))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unknown reports whether the server may have done what was asked.
+func (e *Error) Unknown() bool {
+	return e.Code >= http.StatusInternalServerError && e.Code != http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/cmd/checkcmd.go
@@ -0,0 +1,117 @@
+package cmd
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"radishpath.example/radishpath/document"
+	"radishpath.example/radishpath/operator"
+	"radishpath.example/radishpath/settings"
+)
+
+func (c *Config) newCheckCmd() *cobra.Command {
+	var kind string
+	var online bool
+	check := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a document or settings file without publishing it",
+		Long: "Check a document or settings file and print all findings, each with file, line, section and key. " +
+			"With --online, also compare the document's guarantees with the workers that are announced.\n" +
+			"Warnings do not change the exit code.\n\n" + exitCodesHelp,
+		Example: "  radishpath check document.ini\n" +
+			"  radishpath check --online document.ini\n" +
+			"  radishpath check --kind entry entry.ini",
+		Args: oneArg,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := c.readInput(args[0])
+			if err != nil {
+				return err
+			}
+			result, err := checkText(kind, args[0], text)
+			if err != nil {
+				return err
+			}
+			if online && kind == "document" && len(result.Findings) == 0 {
+				result, err = c.operatorClient().Check(cmd.Context(), text)
+				if err != nil {
+					return fmt.Errorf("check online: %w", err)
+				}
+			}
+			return c.printCheck(args[0], result)
+		},
+	}
+	check.Flags().StringVar(&kind, "kind", "document", "document, entry or agent")
+	check.Flags().BoolVar(&online, "online", false, "compare guarantees with the announced workers")
+	return check
+}
+
+func (c *Config) printCheck(name string, result operator.CheckResult) error {
+	if c.output == "json" {
+		if err := c.printJSON(result); err != nil {
+			return err
+		}
+	} else if err := c.printFindings(name, result); err != nil {
+		return err
+	}
+	if len(result.Findings) > 0 {
+		return &ExitError{
+			Code: exitInvalid,
+		}
+	}
+	return nil
+}
+
+func (c *Config) printFindings(name string, result operator.CheckResult) error {
+	for _, finding := range result.Findings {
+		if err := c.printf("%s\n", finding); err != nil {
+			return err
+		}
+	}
+	for _, warning := range result.Warnings {
+		if err := c.printf("warning: %s\n", warning); err != nil {
+			return err
+		}
+	}
+	if len(result.Findings) > 0 {
+		return nil
+	}
+	return c.printf("%s: no faults, %d %s\n", name, len(result.Warnings), plural(len(result.Warnings), "warning"))
+}
+
+// checkText parses a text. Faults are in the result; the error says that the kind is unknown.
+func checkText(kind, name, text string) (operator.CheckResult, error) {
+	result := operator.CheckResult{
+		Findings: document.Findings{},
+		Warnings: document.Findings{},
+	}
+	var err error
+	switch kind {
+	case "document":
+		var parsed document.Document
+		parsed, err = document.Parse(name, []byte(text))
+		result.Warnings = append(result.Warnings, parsed.Warnings()...)
+	case "entry":
+		var parsed settings.EntrySettings
+		parsed, err = settings.ParseEntry(name, []byte(text))
+		result.Warnings = append(result.Warnings, parsed.Warnings...)
+	case "agent":
+		var parsed settings.AgentSettings
+		parsed, err = settings.ParseAgent(name, []byte(text))
+		result.Warnings = append(result.Warnings, parsed.Warnings...)
+	default:
+		return result, invalid(fmt.Errorf("--kind: %q is not document, entry or agent", kind))
+	}
+	if errors.As(err, &result.Findings) {
+		result.Warnings = document.Findings{}
+	}
+	return result, nil
+}
+
+func plural(count int, word string) string {
+	if count == 1 {
+		return word
+	}
+	return word + "s"
+}
--- /dev/null
+++ b/cmd/statuscmd.go
@@ -0,0 +1,70 @@
+package cmd
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"radishpath.example/radishpath/caller/callerclient"
+)
+
+func (c *Config) newStatusCmd() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status ID",
+		Short: "Print the state of a job",
+		Long:  "Print the state of a job, its answer, and the reasons why it waits or ended.\n\n" + exitCodesHelp,
+		Example: "  radishpath status 6b1f\n" +
+			"  radishpath status --output json 6b1f",
+		Args: oneArg,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			job, err := c.callerClient().Status(cmd.Context(), args[0], 0)
+			if err != nil {
+				return callError(err)
+			}
+			return c.reportJob(job, false)
+		},
+	}
+}
+
+// reportJob prints a job and gives the exit code of its state. A job that has not ended is a failure only if its end
+// was waited for.
+func (c *Config) reportJob(job callerclient.Job, waited bool) error {
+	if c.output == "json" {
+		if err := c.printJSON(job); err != nil {
+			return err
+		}
+	} else if err := c.printJob(job); err != nil {
+		return err
+	}
+	switch {
+	case job.State == callerclient.StateUnknown:
+		return &ExitError{
+			Code: exitUnknown,
+		}
+	case !job.Ended() && waited:
+		return &ExitError{
+			Code: exitPending,
+		}
+	case job.Ended() && job.State != callerclient.StateDone:
+		return &ExitError{
+			Code: exitUnsuccessful,
+		}
+	}
+	return nil
+}
+
+func (c *Config) printJob(job callerclient.Job) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "id: %s\nstate: %s\n", job.ID, job.State)
+	if job.Workspace != "" {
+		fmt.Fprintf(&b, "workspace: %s\n", job.Workspace)
+	}
+	for _, reason := range job.Reasons {
+		fmt.Fprintf(&b, "reason: %s\n", reason)
+	}
+	if job.Answer != "" {
+		fmt.Fprintf(&b, "answer: %s\n", job.Answer)
+	}
+	return c.printf("%s", b.String())
+}
--- a/cmd/versioncmd.go
+++ b/cmd/versioncmd.go
@@ -1,7 +1,6 @@
 package cmd
 
 import (
-	"fmt"
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
@@ -11,17 +10,21 @@
 	return &cobra.Command{
 		Use:     "version",
 		Short:   "Print the version",
-		Example: "  radishpath version",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+		Example: "  radishpath version\n  radishpath version --output json",
+		Args:    atMostArgs(0),
+		RunE: func(*cobra.Command, []string) error {
 			version := "unknown"
 			if info, ok := debug.ReadBuildInfo(); ok {
 				version = info.Main.Version
 			}
-			if _, err := fmt.Fprintln(cmd.OutOrStdout(), "radishpath", version); err != nil {
-				return fmt.Errorf("print version: %w", err)
+			if c.output == "json" {
+				return c.printJSON(struct {
+					Version string `json:"version"`
+				}{
+					Version: version,
+				})
 			}
-			return nil
+			return c.printf("radishpath %s\n", version)
 		},
 	}
 }
