Bound the search of the guarantee check, give files in warnings

Cause: the check of guarantees built a text key for every domain and shape, so a publish at the target size would occupy an entry for seconds. Change: domains are compared by a hash of their rooms, the 16 tightest are tried, and the search ends after 20,000 tries. The commands put the file's name and lines into the warnings.

--- a/cmd/checkcmd.go
+++ b/cmd/checkcmd.go
@@ -38,6 +38,7 @@
 				if err != nil {
 					return fmt.Errorf("check online: %w", err)
 				}
+				relocate(result.Warnings, args[0], 0)
 			}
 			return c.printCheck(args[0], result)
 		},
@@ -109,6 +110,16 @@
 	return result, nil
 }
 
+// relocate moves findings of the server to a file, in which they are so many lines further down.
+func relocate(findings document.Findings, file string, down int) {
+	for i := range findings {
+		findings[i].File = file
+		if findings[i].Line > 0 {
+			findings[i].Line += down
+		}
+	}
+}
+
 func plural(count int, word string) string {
 	if count == 1 {
 		return word
--- a/cmd/draincmd.go
+++ b/cmd/draincmd.go
@@ -53,10 +53,11 @@
 				Revision: current.Revision,
 			}, timeout)
 		}
-		err = c.publish(ctx, operator.PublishRequest{
+		result, err := c.operatorClient().Publish(ctx, operator.PublishRequest{
 			Base: current.Revision,
 			Text: text,
-		}, timeout)
+		})
+		err = c.reportPublish(ctx, result, err, timeout)
 		var exit *ExitError
 		if errors.As(err, &exit) && exit.Code == exitConflict && try < maxDrainTries {
 			continue
--- a/cmd/publishcmd.go
+++ b/cmd/publishcmd.go
@@ -59,10 +59,12 @@
 				}
 				base = marked
 			}
-			return c.publish(cmd.Context(), operator.PublishRequest{
+			result, err := c.operatorClient().Publish(cmd.Context(), operator.PublishRequest{
 				Base: base,
 				Text: body,
-			}, timeout)
+			})
+			relocate(result.Warnings, args[0], strings.Count(text, "\n")-strings.Count(body, "\n"))
+			return c.reportPublish(cmd.Context(), result, err, timeout)
 		},
 	}
 	publish.Flags().Int64Var(&base, "base", 0, "revision that the file was edited from")
@@ -89,9 +91,10 @@
 	}
 }
 
-// publish publishes and reports whether the revision is in effect.
-func (c *Config) publish(ctx context.Context, request operator.PublishRequest, timeout time.Duration) error {
-	result, err := c.operatorClient().Publish(ctx, request)
+// reportPublish reports what became of a publish and whether the revision is in effect.
+func (c *Config) reportPublish(
+	ctx context.Context, result operator.PublishResult, err error, timeout time.Duration,
+) error {
 	if err != nil {
 		return publishError(err)
 	}
--- a/document/pool.go
+++ b/document/pool.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 )
 
 // maxTries bounds the search for a place of all guarantees; one try packs one shape into one domain.
-const maxTries = 200_000
+const maxTries = 20_000
+
+// maxRanked is how many domains the search tries for one shape.
+const maxRanked = 16
 
 // pool is the room of announced workers, by domain of each scope.
 type pool struct {
@@ -15,8 +17,17 @@
 	free    []int
 	// domains lists the workers of every domain by index.
 	domains map[Scope][]domain
-	placed  []guarantee
-	tries   int
+	// zones and racks are the positions of each worker's zone and rack.
+	zones  []int
+	racks  []int
+	placed []guarantee
+	tries  int
+}
+
+// ranked is a domain with its free accelerators.
+type ranked struct {
+	domain domain
+	free   int
 }
 
 // domain is a worker, a rack or a zone.
@@ -38,6 +49,8 @@
 		p.join(ScopeWorker, worker.Worker, i)
 		p.join(ScopeRack, worker.Zone+"/"+worker.Rack, i)
 		p.join(ScopeZone, worker.Zone, i)
+		p.zones = append(p.zones, len(p.domains[ScopeZone]))
+		p.racks = append(p.racks, len(p.domains[ScopeRack]))
 	}
 	return p
 }
@@ -124,14 +137,10 @@
 	return false
 }
 
-// ranked returns the domains with room for a shape, the tightest first and only one of those that look the same.
+// ranked returns the tightest domains with room for a shape, and only one of those that look the same.
 func (p *pool) ranked(shape Shape) []domain {
-	type ranking struct {
-		domain domain
-		free   int
-	}
-	var rankings []ranking
-	seen := map[string]bool{}
+	var ranking []ranked
+	seen := map[uint64]bool{}
 	for _, d := range p.domains[shape.Scope] {
 		if p.room(d, shape) < shape.Members {
 			continue
@@ -141,34 +150,33 @@
 			continue
 		}
 		seen[key] = true
-		rankings = append(rankings, ranking{
+		ranking = insertRanked(ranking, ranked{
 			domain: d,
 			free:   free,
 		})
 	}
-	slices.SortStableFunc(rankings, func(a, b ranking) int {
-		return cmp.Compare(a.free, b.free)
-	})
-	domains := make([]domain, 0, len(rankings))
-	for _, r := range rankings {
+	domains := make([]domain, 0, len(ranking))
+	for _, r := range ranking {
 		domains = append(domains, r.domain)
 	}
 	return domains
 }
 
-// look returns what distinguishes a domain from others of its scope: its free accelerators and the room around it.
-func (p *pool) look(d domain) (key string, free int) {
-	rooms := make([]int, 0, len(d.workers))
+// look returns a hash of what distinguishes a domain from others of its scope, and its free accelerators. Domains look
+// the same if they lie in the same zone, have the same rooms, and, for a single worker, lie in the same rack.
+func (p *pool) look(d domain) (key uint64, free int) {
+	// The constants are those of the 64-bit FNV-1a hash.
+	const offset, prime = 14695981039346656037, 1099511628211
+	around := p.zones[d.workers[0]]
+	if len(d.workers) == 1 {
+		around = p.racks[d.workers[0]]
+	}
+	key = (offset ^ uint64(around)) * prime
 	for _, worker := range d.workers {
-		rooms = append(rooms, p.free[worker])
+		key = (key ^ uint64(p.free[worker])) * prime
 		free += p.free[worker]
 	}
-	slices.Sort(rooms)
-	first := p.workers[d.workers[0]]
-	if len(d.workers) == 1 {
-		return fmt.Sprint(first.Zone, "/", first.Rack, rooms), free
-	}
-	return fmt.Sprint(first.Zone, rooms), free
+	return key, free
 }
 
 func (p *pool) room(d domain, shape Shape) int {
@@ -199,3 +207,15 @@
 	}
 	return false
 }
+
+// insertRanked keeps the tightest domains in order.
+func insertRanked(ranking []ranked, r ranked) []ranked {
+	at, _ := slices.BinarySearchFunc(ranking, r.free+1, func(r ranked, free int) int {
+		return cmp.Compare(r.free, free)
+	})
+	if at >= maxRanked {
+		return ranking
+	}
+	ranking = slices.Insert(ranking, at, r)
+	return ranking[:min(len(ranking), maxRanked)]
+}
