--- a/cmd/agentcmd.go
+++ b/cmd/agentcmd.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"os/signal"
-	"syscall"
+	"net"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -12,6 +12,7 @@
 
 	"radishpath.example/radishpath/agent"
 	"radishpath.example/radishpath/backend"
+	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer"
 	"radishpath.example/radishpath/platform"
 	"radishpath.example/radishpath/settings"
@@ -26,7 +27,7 @@
 		Use:   "agent",
 		Short: "Run the agent beside a backend server and its worker",
 		Long: "Run the agent beside a backend server and its worker. On SIGTERM or SIGINT the agent takes no new work\n" +
-			"and ends when its tasks and answers are done; a second signal ends it at once.",
+			"and ends when its tasks and answers are done.",
 		Example: "  radishpath agent --settings agent.ini",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -56,13 +57,14 @@
 	metrics := newMetrics("radishpath_agent")
 	defer metrics.close()
 	a := agent.New(agent.Config{
-		ID:      read.ID,
-		Address: read.Listen,
-		Zone:    read.Zone,
-		Entries: addresses(read.Entries),
-		Clock:   c.Clock,
-		Logger:  logger,
-		Metrics: metrics.scope,
+		ID:        read.ID,
+		Address:   read.Listen,
+		Advertise: read.Advertise,
+		Zone:      read.Zone,
+		Entries:   addresses(read.Entries),
+		Clock:     c.Clock,
+		Logger:    logger,
+		Metrics:   metrics.scope,
 		Worker: workerPort(platform.NewWorker(platform.WorkerConfig{
 			Address: hostOf(read.Worker),
 		})),
@@ -73,26 +75,48 @@
 		Parse: parseDocument,
 		TLS:   credentials.server,
 	})
-	run, stop := context.WithCancel(ctx)
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	served, err := c.serveAgentAdmin(run, read, metrics, logger)
+	if err != nil {
+		return err
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- a.Run(run) }()
-	return c.awaitAgent(ctx, a, stop, ended, logger)
+	err = awaitAgent(ctx, a, stop, ended, logger)
+	stop()
+	return errors.Join(err, <-served)
+}
+
+// serveAgentAdmin serves health, metrics and profiles to operators.
+func (c *Config) serveAgentAdmin(
+	ctx context.Context, read settings.AgentSettings, metrics metrics, logger hclog.Logger,
+) (<-chan error, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", read.Admin)
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	server := operator.NewServer(operator.ServerConfig{
+		Logger:    logger,
+		Clock:     c.Clock,
+		Operators: read.Operators,
+		Metrics:   metrics.handler,
+	})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx, listener) }()
+	return served, nil
 }
 
-// awaitAgent lets the agent leave on the first signal and stops it on the second.
-func (c *Config) awaitAgent(
+// awaitAgent lets the agent leave when ctx ends, and then stops it.
+func awaitAgent(
 	ctx context.Context, a *agent.Agent, stop context.CancelFunc, ended <-chan error, logger hclog.Logger,
 ) error {
-	signalled, unhook := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer unhook()
 	select {
 	case err := <-ended:
 		return err
-	case <-signalled.Done():
+	case <-ctx.Done():
 	}
-	unhook()
-	leave, cancel := context.WithTimeout(ctx, leaveLimit)
+	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveLimit)
 	defer cancel()
 	if err := a.Leave(leave); err != nil {
 		logger.Warn("leave", "error", err)
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -4,14 +4,14 @@
 	"context"
 	"fmt"
 	"net"
-	"os/signal"
 	"strconv"
-	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
 
+	"radishpath.example/radishpath/caller"
 	"radishpath.example/radishpath/entry"
+	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer"
 	"radishpath.example/radishpath/peer/peerpb"
 	"radishpath.example/radishpath/platform"
@@ -39,35 +39,72 @@
 	return cmd
 }
 
+// runEntry serves until ctx ends. The callers' connections end first, then the jobs are handed over, and operators are
+// served until the end.
 func (c *Config) runEntry(ctx context.Context, read settings.EntrySettings) error {
 	logger := c.newLogger("entry", read.Log)
-	e, done, err := c.newEntry(read, logger)
+	e, held, err := c.newEntry(read, logger)
 	if err != nil {
 		return err
 	}
-	defer done.close()
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", read.Listen)
-	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
-	}
-	signalled, unhook := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer unhook()
-	servers, err := c.startServers(ctx, read, e, done.metrics, logger)
+	defer held.close()
+	listeners, err := listen(ctx, read.Listen, read.Caller, read.Admin)
 	if err != nil {
 		return err
 	}
-	running := make(chan error, 1)
-	go func() { running <- e.Run(signalled, listener) }()
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	admin, stopAdmin := context.WithCancel(run)
+	defer stopAdmin()
+	unhook := context.AfterFunc(ctx, e.Leave)
+	defer unhook()
+	served, adminServed, ran := make(chan error, 1), make(chan error, 1), make(chan error, 1)
+	go func() { ran <- e.Run(run, listeners[0]) }()
+	go func() { served <- c.newCallerServer(read, e, logger).Serve(ctx, listeners[1]) }()
+	go func() {
+		adminServed <- operator.NewServer(e.OperatorConfig(read.Operators, held.metrics.handler)).Serve(admin, listeners[2])
+	}()
 	select {
-	case err = <-running:
-	case <-signalled.Done():
-		servers.drain(ctx, e, read.Linger)
-		err = <-running
+	case err = <-served:
+	case err = <-ran:
+	case err = <-adminServed:
+	}
+	stop()
+	if err == nil {
+		err = <-ran
 	}
-	servers.close()
 	return err
 }
 
+// listen opens the listeners in the order of the addresses.
+func listen(ctx context.Context, addresses ...string) ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+func (c *Config) newCallerServer(read settings.EntrySettings, e *entry.Entry, logger hclog.Logger) *caller.Server {
+	return caller.NewServer(caller.ServerConfig{
+		Logger:       logger,
+		Clock:        c.Clock,
+		Submit:       e.Submit,
+		Lookup:       e.Lookup,
+		Cancel:       e.Cancel,
+		Authenticate: e.Authenticate,
+		Ready:        e.Ready,
+		Drain:        read.Linger,
+	})
+}
+
 // resources are what an entry holds until it ends.
 type resources struct {
 	metrics metrics
@@ -110,7 +147,7 @@
 	}
 	return entry.New(entry.Config{
 		ID:      read.ID + "." + strconv.FormatInt(c.Clock.Now().UnixMilli(), 36),
-		Address: read.Listen,
+		Address: read.Advertise,
 		Zone:    read.Zone,
 		Peers:   peers,
 		Clock:   c.Clock,
@@ -123,7 +160,6 @@
 			Logger:  logger,
 		}),
 		Retention: read.Retention,
-		Linger:    read.Linger,
 		TLS:       credentials.server,
 		Trace:     trace,
 	}), held, nil
--- a/entry/config.go
+++ b/entry/config.go
@@ -31,18 +31,13 @@
 	Log     LogService
 	// Retention is how long the log keeps records.
 	Retention time.Duration
-	// Linger is how long a leaving entry goes on accepting after it turned its readiness off.
-	Linger time.Duration
 	// TLS turns on mutual TLS between processes; nil means plain TCP.
 	TLS *tls.Config
 	// Trace receives the decision trace as JSON lines; nil keeps none.
 	Trace io.Writer
 }
 
-const (
-	defaultRetention = time.Hour
-	defaultLinger    = 2 * time.Second
-)
+const defaultRetention = time.Hour
 
 func (c Config) withDefaults() Config {
 	if c.Logger == nil {
@@ -54,8 +49,5 @@
 	if c.Retention <= 0 {
 		c.Retention = defaultRetention
 	}
-	if c.Linger < 0 {
-		c.Linger = defaultLinger
-	}
 	return c
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 
 	"radishpath.example/radishpath/peer"
 	"radishpath.example/radishpath/peer/peerpb"
+	"radishpath.example/radishpath/routing"
 )
 
 // noTime marks a heartbeat that answers no call of this process.
@@ -35,6 +36,8 @@
 	fleetChanges *signal
 	placer       *placer
 	owner        *owner
+	router       *routing.Router
+	retries      *routing.Budget
 	handovers    *handovers
 	trace        *trace
 }
@@ -51,6 +54,8 @@
 		documents:    newDocuments(config),
 		fleet:        newFleet(),
 		fleetChanges: newSignal(),
+		router:       routing.New(routing.Config{}),
+		retries:      routing.NewBudget(),
 		handovers:    newHandovers(),
 		trace:        newTrace(config),
 	}
@@ -62,7 +67,7 @@
 	return e
 }
 
-// Leave turns readiness off. Run returns after its context ends.
+// Leave turns readiness off and gives up the placer's role. Run returns after its context ends.
 func (e *Entry) Leave() {
 	if e.leaving.CompareAndSwap(false, true) {
 		e.logger.Info("leaving")
@@ -81,8 +86,8 @@
 	}
 }
 
-// Run serves until ctx ends. It then turns readiness off, goes on for the linger time, hands its jobs over and
-// returns.
+// Run serves until ctx ends. It then hands its jobs over and returns. End ctx only after the callers' connections have
+// ended.
 func (e *Entry) Run(ctx context.Context, listener net.Listener) error {
 	run := e.running
 	defer e.stop()
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/bits"
 	"slices"
 	"strings"
 	"sync"
@@ -143,3 +144,19 @@
 func (v agentView) isUsable(now time.Time) bool {
 	return v.worker != nil && !v.leaving && now.Sub(v.heard) <= agentSilence
 }
+
+// accelerators counts the accelerators of a task.
+func accelerators(task *peerpb.TaskInfo) int {
+	return bits.OnesCount64(task.GetAccelerators())
+}
+
+// freeAccelerators counts the accelerators that no task and no hold uses.
+func (v agentView) freeAccelerators() int {
+	free := int(v.worker.GetAccelerators())
+	for _, task := range v.tasks {
+		if !task.GetEnded() {
+			free -= accelerators(task)
+		}
+	}
+	return max(free, 0)
+}
--- a/entry/gangs.go
+++ b/entry/gangs.go
@@ -147,6 +147,7 @@
 	if r.isCancelled() {
 		return r.abandon(ctx, run, "cancelled")
 	}
+	r.tries = 0
 	r.setState(stateRunning)
 	r.entry.trace.write(decision{
 		Kind:       "start",
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -14,7 +14,7 @@
 const (
 	heartbeatInterval = 200 * time.Millisecond
 	heartbeatTimeout  = 600 * time.Millisecond
-	pruneInterval     = 10 * time.Second
+	pruneInterval     = time.Second
 )
 
 // heartbeat describes this entry to another one that has the given revision of the document.
@@ -60,9 +60,9 @@
 				e.beat(ctx, known)
 			})
 		}
-		if e.config.Clock.Since(pruned) > pruneInterval && e.documents.isReadable() {
+		if e.config.Clock.Since(pruned) > pruneInterval {
 			pruned = e.config.Clock.Now()
-			e.members.prune(pruned)
+			e.members.prune(pruned, e.documents.isReadable())
 		}
 		select {
 		case <-ctx.Done():
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -33,6 +34,10 @@
 	follower *journal.Follower
 	// changes wakes those who wait for a job's state.
 	changes *signal
+
+	mu sync.Mutex
+	// live holds the ids of the jobs that have not ended, by workspace.
+	live map[string]map[string]bool
 }
 
 // newJobs returns jobs whose changes are passed to observe in the order of the log.
@@ -42,6 +47,7 @@
 		log:     config.Log,
 		ledger:  ledger.New(),
 		changes: newSignal(),
+		live:    map[string]map[string]bool{},
 	}
 	j.writer = journal.NewWriter(journal.WriterConfig{
 		Logger: config.Logger.Named("journal"),
@@ -60,6 +66,7 @@
 		Read:   j.read,
 		Observe: func(offset int64, batch *peerpb.Batch, changes []ledger.Change) {
 			for _, change := range changes {
+				j.count(change)
 				observe(offset, change)
 			}
 			j.writer.Observe(offset, batch, changes)
@@ -85,6 +92,35 @@
 	return nil
 }
 
+// count keeps the number of live jobs per workspace.
+func (j *jobs) count(change ledger.Change) {
+	if !change.Applied || change.Job == "" {
+		return
+	}
+	state, ok := j.ledger.Job(change.Job)
+	if !ok || state.Job == nil {
+		return
+	}
+	workspace := state.Job.GetWorkspace()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !state.Live() {
+		delete(j.live[workspace], change.Job)
+		return
+	}
+	if j.live[workspace] == nil {
+		j.live[workspace] = map[string]bool{}
+	}
+	j.live[workspace][change.Job] = true
+}
+
+// liveOf returns how many jobs of a workspace have not ended.
+func (j *jobs) liveOf(workspace string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.live[workspace])
+}
+
 // isCaughtUp says whether the stream was read to its end once.
 func (j *jobs) isCaughtUp() bool {
 	return !j.follower.Status().Current.IsZero()
--- a/entry/members.go
+++ b/entry/members.go
@@ -24,6 +24,8 @@
 	info *peerpb.EntryInfo
 	// heard is when the last message from it arrived.
 	heard time.Time
+	// leaving entries keep their jobs until they hand them over, but take no part in succession.
+	leaving bool
 	// asked is when the call behind reply was made.
 	asked time.Time
 	reply *peerpb.Heartbeat
@@ -113,19 +115,24 @@
 	if !ok {
 		return
 	}
-	if beat.GetLeaving() {
-		delete(m.known, beat.GetSender().GetId())
-		return
-	}
 	known.heard = now
+	known.leaving = beat.GetLeaving()
 	if !asked.IsZero() {
 		known.asked = asked
 		known.reply = beat
 	}
 }
 
-// prune drops entries that were silent for pruneSilence.
-func (m *members) prune(now time.Time) {
+// isLeaving says whether an entry announced that it shuts down.
+func (m *members) isLeaving(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known, ok := m.known[id]
+	return ok && known.leaving
+}
+
+// prune drops entries that left, and with silent set also those that were silent for pruneSilence.
+func (m *members) prune(now time.Time, silent bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, known := range m.known {
@@ -133,7 +140,8 @@
 		if heard.Before(m.started) {
 			heard = m.started
 		}
-		if now.Sub(heard) > pruneSilence {
+		age := now.Sub(heard)
+		if (known.leaving && age > ownerSilence) || (silent && age > pruneSilence) {
 			delete(m.known, id)
 		}
 	}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -55,10 +55,13 @@
 		r.count++
 		r.setState(stateRunning)
 		result := r.serve(ctx, target)
-		r.entry.observeServed(r.job, target, result)
+		r.observe(target, result)
 		if r.settleServed(ctx, target, result) {
 			return
 		}
+		if !result.refused {
+			r.tries = 0
+		}
 	}
 }
 
@@ -92,7 +95,7 @@
 			Serve: &peerpb.Serve{
 				Job:     r.job,
 				Attempt: r.attempt(),
-				Large:   r.entry.isLarge(r.job),
+				Large:   r.large,
 			},
 		},
 	})
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -17,8 +17,11 @@
 	maxFailures = 3
 	// reportBuffer holds the reports of a gang while its runner is busy; agents send again what did not fit.
 	reportBuffer = 64
-	// tryInterval is the pause between tries to place or route a job.
-	tryInterval = 50 * time.Millisecond
+	// tryInterval is the first pause between tries to place or route a job; it doubles up to lastInterval, so that a
+	// job that is refused everywhere costs little.
+	tryInterval  = 25 * time.Millisecond
+	lastInterval = 400 * time.Millisecond
+	maxDoublings = 5
 )
 
 // runner drives one job that this entry owns, from acceptance to its end.
@@ -41,6 +44,13 @@
 	// started says that a start record took effect.
 	started bool
 	count   int32
+	// excluded are the agents that refused the request since the last round over all of them.
+	excluded []string
+	// large is the class of the request, picked the time of the last choice.
+	large  bool
+	picked time.Time
+	// tries counts the pauses since the last progress.
+	tries int
 	// failures counts failed attempts by agent.
 	failures map[string]string
 
@@ -180,10 +190,12 @@
 
 // sleep waits before another try; it returns early when the job is cancelled or ctx ends.
 func (r *runner) sleep(ctx context.Context) {
+	interval := min(tryInterval<<min(r.tries, maxDoublings), lastInterval)
+	r.tries++
 	select {
 	case <-ctx.Done():
 	case <-r.cancelled:
-	case <-r.entry.config.Clock.After(jitter(tryInterval)):
+	case <-r.entry.config.Clock.After(jitter(interval)):
 	}
 }
 
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -30,8 +30,10 @@
 	if e.owner.isDraining() {
 		return caller.Status{}, fmt.Errorf("%w: %w", caller.ErrNotAccepted, errLeaving)
 	}
-	if err := e.admit(job); err != nil {
-		return caller.Status{}, err
+	if err := e.admit(job); errors.Is(err, errNoWorkspace) {
+		return caller.Status{}, fmt.Errorf("%w: %w", caller.ErrNotAccepted, err)
+	} else if err != nil {
+		return caller.Status{}, fmt.Errorf("%w: %w", caller.ErrLimit, err)
 	}
 	job.Accepted = timestamppb.New(e.config.Clock.Now())
 	err := e.accept(ctx, job)
@@ -52,15 +54,6 @@
 	}
 }
 
-// admit checks the workspace and its limits.
-func (e *Entry) admit(job *peerpb.Job) error {
-	_, ok := e.documents.parsed().Workspace(job.GetWorkspace())
-	if !ok {
-		return fmt.Errorf("%w: workspace %s is not in the document", caller.ErrNotAccepted, job.GetWorkspace())
-	}
-	return nil
-}
-
 // accept appends the accept record. An idempotent request does not wait long for a log that is unavailable.
 func (e *Entry) accept(ctx context.Context, job *peerpb.Job) error {
 	timeout := acceptTimeout
@@ -186,7 +179,7 @@
 func callerStatus(id string, found status) caller.Status {
 	converted := caller.Status{
 		ID:        id,
-		State:     found.state,
+		State:     caller.State(found.state),
 		Workspace: found.workspace,
 		Reasons:   found.reasons,
 	}
--- a/entry/succession.go
+++ b/entry/succession.go
@@ -46,18 +46,19 @@
 	if placer == e.config.ID {
 		return false
 	}
-	if _, known := e.members.address(placer); known && e.members.isAlive(placer, now, placerSilence) {
+	_, known := e.members.address(placer)
+	if known && !e.members.isLeaving(placer) && e.members.isAlive(placer, now, placerSilence) {
 		return false
 	}
 	order := e.terms.order(e.aliveEntries(now))
 	return len(order) > 0 && order[0] == e.config.ID
 }
 
-// aliveEntries returns the ids of the entries heard lately, this one included, without the silent placer.
+// aliveEntries returns the ids of the entries heard lately that are not leaving, this one included.
 func (e *Entry) aliveEntries(now time.Time) []string {
 	alive := []string{e.config.ID}
 	for _, known := range e.members.list() {
-		if e.members.isAlive(known.info.GetId(), now, placerSilence) {
+		if !known.leaving && e.members.isAlive(known.info.GetId(), now, placerSilence) {
 			alive = append(alive, known.info.GetId())
 		}
 	}
--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -56,8 +56,7 @@
 	return nil
 }
 
-// shutdown waits for the end of the process's context, lets the load balancer and callers finish and hands the jobs
-// over. Its return ends the other goroutines.
+// shutdown waits for the end of the process's context and hands the jobs over. Its return ends the other goroutines.
 func (e *Entry) shutdown(leave, run context.Context) error {
 	select {
 	case <-leave.Done():
@@ -65,7 +64,6 @@
 		return nil
 	}
 	e.Leave()
-	e.pause(run, e.config.Linger)
 	e.owner.drain(run)
 	e.handOver(run)
 	return nil
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -18,6 +18,8 @@
 	ID string
 	// Listen is the address of the peer protocol, as other processes dial it.
 	Listen string
+	// Advertise is the address that other processes dial if it differs from Listen.
+	Advertise string
 	// Admin is the HTTP address for operators.
 	Admin string
 	Zone  string
@@ -53,6 +55,7 @@
 		TLS:       readTLS(file),
 		Operators: readOperators(file),
 	}
+	read.Advertise = readDialed(reader, "advertise", read.Listen)
 	reader.Finish()
 	if len(read.Entries) == 0 {
 		read.Entries = []Node{
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -27,6 +27,8 @@
 	ID string
 	// Listen is the address of the peer protocol, as other processes dial it.
 	Listen string
+	// Advertise is the address that other processes dial if it differs from Listen.
+	Advertise string
 	// Caller and Admin are the HTTP addresses for callers and operators.
 	Caller string
 	Admin  string
@@ -66,11 +68,12 @@
 		TLS:        readTLS(file),
 		Operators:  readOperators(file),
 	}
+	read.Advertise = readDialed(reader, "advertise", read.Listen)
 	reader.Finish()
 	if len(read.Peers) > 0 && !reader.Has("id") {
 		reader.Bad("id", "is missing; an entry with peers needs an id of its own")
 	}
-	read.Peers = withoutSelf(reader, read.Peers, read.ID, read.Listen)
+	read.Peers = withoutSelf(reader, read.Peers, read.ID, read.Advertise)
 	checkDistinct(reader, map[string]string{
 		"listen": read.Listen,
 		"caller": read.Caller,
