--- a/agent/requests.go
+++ b/agent/requests.go
@@ -114,11 +114,7 @@
 	if found, reply := r.find(k, request.GetJob().GetIdempotent()); found != nil || reply != nil {
 		return found, reply
 	}
-	err := errors.Join(r.fences.check(k), r.gate.checkRequest())
-	if err == nil {
-		err = r.answers.reserve()
-	}
-	if err != nil {
+	if err := r.check(k); err != nil {
 		r.fences.close(k)
 		r.journal.write(decisionRefuse, k, err.Error())
 		return nil, refusal(err)
@@ -158,6 +154,17 @@
 	}
 }
 
+// check refuses requests that need not wait for a slot, because they would be refused then too.
+func (r *requests) check(k key) error {
+	if err := r.fences.check(k); err != nil {
+		return err
+	}
+	if err := r.gate.checkRequest(); err != nil {
+		return err
+	}
+	return r.answers.check()
+}
+
 // end keeps the answer and tells those who wait for it.
 func (r *requests) end(ctx context.Context, ended *call, answer Answer, err error) {
 	if ctx.Err() != nil && err != nil {
@@ -222,7 +229,6 @@
 	}
 	r.fences.close(refused.key)
 	r.journal.write(decisionRefuse, refused.key, err.Error())
-	r.answers.cancel()
 	r.drop(refused)
 	refused.finish(refusal(err))
 }
@@ -237,9 +243,14 @@
 		r.refuse(ctx, admitted, err)
 		return
 	}
+	if err := r.answers.reserve(); err != nil {
+		r.refuse(ctx, admitted, err)
+		return
+	}
 	r.journal.write(decisionServe, admitted.key, fmt.Sprintf("large %t", admitted.large))
 	answer, err := r.send(ctx, admitted)
 	if errors.Is(err, r.backend.Rejected) {
+		r.answers.cancel()
 		r.refuse(ctx, admitted, err)
 		return
 	}
--- a/agent/system_test.go
+++ b/agent/system_test.go
@@ -17,7 +17,10 @@
 	"radishpath.example/radishpath/peer/peerpb"
 )
 
-const entryAddress = "entry"
+const (
+	entryAddress = "entry"
+	ownerAddress = "owner"
+)
 
 var (
 	errRejected = errors.New("rejected")
@@ -36,7 +39,7 @@
 	announced func(*peerpb.Announce) *peerpb.AnnounceReply
 	announces []*peerpb.Announce
 	// reported answers reports.
-	reported func(*peerpb.Report) *peerpb.ReportReply
+	reported func(string, *peerpb.Report) *peerpb.ReportReply
 	reports  []*peerpb.Report
 }
 
@@ -50,7 +53,7 @@
 		announced: func(*peerpb.Announce) *peerpb.AnnounceReply {
 			return confirmation(1, "in", 0)
 		},
-		reported: func(*peerpb.Report) *peerpb.ReportReply {
+		reported: func(string, *peerpb.Report) *peerpb.ReportReply {
 			return &peerpb.ReportReply{
 				Accepted: true,
 			}
@@ -90,7 +93,7 @@
 	if a != nil {
 		return a.handle(ctx, request), nil
 	}
-	if address != entryAddress {
+	if address != entryAddress && address != ownerAddress {
 		return nil, peer.ErrNotSent
 	}
 	s.mu.Lock()
@@ -99,7 +102,7 @@
 		s.reports = append(s.reports, report)
 		return &peerpb.Reply{
 			Kind: &peerpb.Reply_Report{
-				Report: s.reported(report),
+				Report: s.reported(address, report),
 			},
 		}, nil
 	}
@@ -422,3 +425,9 @@
 	defer b.mu.Unlock()
 	change()
 }
+
+func (b *fakeBackend) ran(job string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[job]
+}
--- a/agent/tasks_test.go
+++ b/agent/tasks_test.go
@@ -47,10 +47,10 @@
 	})
 }
 
-func (s *system) commit(a *Agent, job string, count, member int32, agents []string) *peerpb.Verdict {
+func (s *system) commit(a *Agent, job string, member int32, agents []string) *peerpb.Verdict {
 	commit := &peerpb.Commit{
 		Job:     job,
-		Attempt: tryNumber(count),
+		Attempt: tryNumber(1),
 		Member:  member,
 	}
 	for _, id := range agents {
@@ -66,40 +66,40 @@
 	})
 }
 
-func (s *system) startTask(a *Agent, job string, count, member int32) *peerpb.Verdict {
+func (s *system) startTask(a *Agent, job string, member int32) *peerpb.Verdict {
 	return s.call(a, &peerpb.Request{
 		Kind: &peerpb.Request_Start{
 			Start: &peerpb.StartTask{
 				Job:     job,
-				Attempt: tryNumber(count),
+				Attempt: tryNumber(1),
 				Member:  member,
 			},
 		},
 	})
 }
 
-func (s *system) acknowledge(a *Agent, job string, count, member int32) {
+func (s *system) acknowledge(a *Agent, member int32) {
 	require.True(s.t, s.call(a, &peerpb.Request{
 		Kind: &peerpb.Request_Acknowledge{
 			Acknowledge: &peerpb.Acknowledge{
-				Job:     job,
-				Attempt: tryNumber(count),
+				Job:     "job",
+				Attempt: tryNumber(1),
 				Member:  member,
 			},
 		},
 	}).GetOk())
 }
 
-// prepare holds and commits a job of one member per agent.
-func (s *system) prepare(job string, count int32, agents ...*Agent) {
+// prepare holds and commits the first attempt of a job of one member per agent.
+func (s *system) prepare(agents ...*Agent) {
 	s.t.Helper()
 	var ids []string
 	for _, a := range agents {
 		ids = append(ids, a.config.ID)
 	}
 	for i, a := range agents {
-		require.Empty(s.t, s.hold(a, holdOf(job, count, int32(i), 1, 1)).GetReason())
-		require.Empty(s.t, s.commit(a, job, count, int32(i), ids).GetReason())
+		require.Empty(s.t, s.hold(a, holdOf("job", 1, int32(i), 1, 1)).GetReason())
+		require.Empty(s.t, s.commit(a, "job", int32(i), ids).GetReason())
 	}
 }
 
@@ -207,9 +207,9 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			bubble(t, func(s *system, a *Agent, w *fakeWorker, b *fakeBackend) {
-				s.prepare("job", 1, a)
+				s.prepare(a)
 				test.before(s, a, w, b)
-				verdict := s.startTask(a, "job", 1, 0)
+				verdict := s.startTask(a, "job", 0)
 				require.Contains(t, verdict.GetReason(), test.reason)
 				require.Equal(t, test.reason == "", verdict.GetOk())
 				if !verdict.GetOk() {
@@ -223,10 +223,10 @@
 // TestStartWithLostReply guards against a task that runs although its start was refused, or twice.
 func TestStartWithLostReply(t *testing.T) {
 	bubble(t, func(s *system, a *Agent, w *fakeWorker, _ *fakeBackend) {
-		s.prepare("job", 1, a)
+		s.prepare(a)
 		w.afterStart = func() error { return errLost }
-		require.True(t, s.startTask(a, "job", 1, 0).GetOk())
-		require.True(t, s.startTask(a, "job", 1, 0).GetOk())
+		require.True(t, s.startTask(a, "job", 0).GetOk())
+		require.True(t, s.startTask(a, "job", 0).GetOk())
 		s.clock.Sleep(10 * time.Second)
 		require.Equal(t, StateRunning, w.state("job.7.1.0"))
 		require.Equal(t, 1, w.starts)
@@ -274,9 +274,9 @@
 					defer stop()
 					agents, workers = append(agents, a), append(workers, w)
 				}
-				s.prepare("job", 1, agents...)
+				s.prepare(agents...)
 				for i, a := range agents {
-					require.Empty(t, s.startTask(a, "job", 1, int32(i)).GetReason())
+					require.Empty(t, s.startTask(a, "job", int32(i)).GetReason())
 				}
 				s.clock.Sleep(30 * time.Second)
 				for i, w := range workers {
@@ -302,9 +302,9 @@
 		defer stop0()
 		a1, stop1 := s.start("worker-1", w1, newFakeBackend(s))
 		defer stop1()
-		s.prepare("job", 1, a0, a1)
-		require.True(t, s.startTask(a0, "job", 1, 0).GetOk())
-		require.True(t, s.startTask(a1, "job", 1, 1).GetOk())
+		s.prepare(a0, a1)
+		require.True(t, s.startTask(a0, "job", 0).GetOk())
+		require.True(t, s.startTask(a1, "job", 1).GetOk())
 		require.NoError(t, w0.finish("job.7.1.0", StateDone, "half"))
 		s.clock.Sleep(time.Minute)
 		require.Equal(t, StateRunning, w1.state("job.7.1.1"))
@@ -315,8 +315,8 @@
 			last[report.GetMember()] = report.GetFailed()
 		}
 		require.Equal(t, map[int32]bool{0: false, 1: true}, last)
-		s.acknowledge(a0, "job", 1, 0)
-		s.acknowledge(a1, "job", 1, 1)
+		s.acknowledge(a0, 0)
+		s.acknowledge(a1, 1)
 		s.clock.Sleep(time.Second)
 		require.Empty(t, a0.tasks.list())
 		require.Empty(t, w1.state("job.7.1.1"), "removed from the worker")
@@ -348,8 +348,8 @@
 				if test.hang {
 					a.tasks.worker.Checkpoint = func(context.Context, string) error { return nil }
 				}
-				s.prepare("job", 1, a)
-				require.True(t, s.startTask(a, "job", 1, 0).GetOk())
+				s.prepare(a)
+				require.True(t, s.startTask(a, "job", 0).GetOk())
 				a.tasks.release(newKey("job", tryNumber(1), 0), true, 5*time.Second)
 				s.clock.Sleep(test.after)
 				require.Equal(t, test.state, w.state("job.7.1.0"))
@@ -367,16 +367,16 @@
 		s := newSystem(t)
 		w, b := newFakeWorker(s), newFakeBackend(s)
 		a, stop := s.start("worker-0", w, b)
-		s.prepare("job", 1, a)
-		require.True(t, s.startTask(a, "job", 1, 0).GetOk())
+		s.prepare(a)
+		require.True(t, s.startTask(a, "job", 0).GetOk())
 		require.Empty(t, s.hold(a, holdOf("done", 1, 0, 2, 1)).GetReason())
-		require.Empty(t, s.commit(a, "done", 1, 0, []string{"worker-0"}).GetReason())
-		require.True(t, s.startTask(a, "done", 1, 0).GetOk())
+		require.Empty(t, s.commit(a, "done", 0, []string{"worker-0"}).GetReason())
+		require.True(t, s.startTask(a, "done", 0).GetOk())
 		require.NoError(t, w.finish("done.7.1.0", StateDone, "answer"))
 		stop()
 		a, stop = s.start("worker-0", w, b)
 		defer stop()
-		require.True(t, s.startTask(a, "job", 1, 0).GetOk())
+		require.True(t, s.startTask(a, "job", 0).GetOk())
 		require.Contains(t, s.hold(a, holdOf("next", 1, 0, 1, 1)).GetReason(), "accelerators are taken")
 		s.clock.Sleep(taskLease + 2*pollInterval)
 		require.Equal(t, StateLapsed, w.state("job.7.1.0"))
@@ -389,8 +389,8 @@
 // TestLeaveWaits guards against an agent that is replaced while its tasks run or its answers are not acknowledged.
 func TestLeaveWaits(t *testing.T) {
 	bubble(t, func(s *system, a *Agent, w *fakeWorker, _ *fakeBackend) {
-		s.prepare("job", 1, a)
-		require.True(t, s.startTask(a, "job", 1, 0).GetOk())
+		s.prepare(a)
+		require.True(t, s.startTask(a, "job", 0).GetOk())
 		left := make(chan error, 1)
 		go func() { left <- a.Leave(s.t.Context()) }()
 		s.clock.Sleep(time.Minute)
@@ -401,7 +401,7 @@
 		s.clock.Sleep(time.Minute)
 		require.Empty(t, left)
 		require.Greater(t, len(s.reportsOf("job")), 1, "reported until acknowledged")
-		s.acknowledge(a, "job", 1, 0)
+		s.acknowledge(a, 0)
 		require.NoError(t, <-left)
 	})
 }
