--- a/placement/job.go
+++ b/placement/job.go
@@ -42,6 +42,10 @@
 	return fmt.Sprintf("%dx%d@%s", s.Members, s.Accelerators, s.Scope)
 }
 
+func (s Shape) size() int {
+	return s.Members * s.Accelerators
+}
+
 // Job is a gang job. Accelerators, Cores and Memory (bytes) are per member; the accelerators of a member have
 // contiguous indexes in one worker.
 type Job struct {
--- a/placement/node.go
+++ b/placement/node.go
@@ -68,6 +68,8 @@
 
 // room is what one node offers to one search.
 type room struct {
+	// open is false for workers that take nothing.
+	open   bool
 	mask   uint64
 	cores  int
 	memory int64
@@ -83,7 +85,7 @@
 	if w.memory > 0 {
 		limit = min(limit, int(r.memory/w.memory))
 	}
-	if limit <= 0 {
+	if limit <= 0 || !r.open {
 		return 0
 	}
 	if length == 0 {
--- a/placement/occupancy.go
+++ b/placement/occupancy.go
@@ -19,8 +19,21 @@
 	}
 }
 
-// uncharge takes an entry out of the guarantee. It goes on as borrowed work, or as stuck work if it cannot be evicted.
+// uncharge takes a running entry out of the guarantee. It goes on as borrowed work, or as stuck work if it cannot be
+// evicted.
 func (s *Scheduler) uncharge(e *entry) {
+	if e.mode != guaranteed {
+		return
+	}
+	s.refund(e)
+	if !e.job.evictable() {
+		e.mode = stuck
+		e.setStuck()
+	}
+}
+
+// refund undoes charge.
+func (s *Scheduler) refund(e *entry) {
 	if e.mode != guaranteed {
 		return
 	}
@@ -33,12 +46,6 @@
 	}
 	e.units = nil
 	e.mode = borrowed
-	if !e.job.evictable() && e.state != claiming {
-		e.mode = stuck
-		for _, p := range e.pieces {
-			p.node.stuck |= p.mask
-		}
-	}
 }
 
 // occupy books accelerators, cores and memory of an entry.
@@ -83,7 +90,7 @@
 			p.node.health.probing = ""
 		}
 	}
-	s.uncharge(e)
+	s.refund(e)
 	e.space.usage -= e.job.size()
 	if e.state == evicting {
 		s.evictions = slices.DeleteFunc(s.evictions, func(other *entry) bool { return other == e })
@@ -112,7 +119,7 @@
 // unclaim gives the place up; the entry is neither queued nor running afterwards.
 func (s *Scheduler) unclaim(e *entry) {
 	s.unhold(e)
-	s.uncharge(e)
+	s.refund(e)
 	e.pieces = nil
 	e.mode = borrowed
 	s.changed()
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -103,6 +103,7 @@
 	for _, n := range p.cell.nodes {
 		r := room{}
 		if n.inService() {
+			r.open = true
 			r.mask = n.all &^ n.stuck &^ taken(n)
 			r.dear = n.all &^ n.free
 		}
@@ -129,7 +130,8 @@
 }
 
 // complete places all units that lack a place. It first keeps the others where they are, then packs all floating units
-// anew, then searches with a bounded number of steps. If nothing holds them all, the best packing stays.
+// anew, then searches with a bounded number of steps. If nothing holds them all, those that have a place keep it: a shape
+// never loses its place to another one.
 func (p *plan) complete() {
 	if !p.stale {
 		return
@@ -148,13 +150,7 @@
 	if p.pack() {
 		return
 	}
-	packed := p.save(p.units)
-	if p.search() {
-		return
-	}
-	if count(packed) >= count(before) {
-		p.restore(packed)
-	} else {
+	if !p.search() {
 		p.restore(before)
 	}
 }
@@ -222,16 +218,6 @@
 	}
 }
 
-func count(saved []savedUnit) int {
-	total := 0
-	for _, s := range saved {
-		if len(s.cells) > 0 {
-			total += s.unit.shape.Members * s.unit.shape.Accelerators
-		}
-	}
-	return total
-}
-
 func (u *unit) want() *want {
 	return &want{
 		members:      u.shape.Members,
--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -152,7 +152,7 @@
 		pieces, ok := s.finder.find(rooms, e.want())
 		return pieces, ok
 	}
-	pieces, ok := s.finder.find(s.ownRooms(e, rooms), e.chargedWant())
+	pieces, ok := s.finder.find(s.ownRooms(rooms, e.space.units...), e.chargedWant())
 	return pieces, ok
 }
 
--- a/placement/runnable.go
+++ b/placement/runnable.go
@@ -59,6 +59,7 @@
 // members returns how many members an empty worker holds.
 func (w Worker) members(j Job) int {
 	r := room{
+		open:   true,
 		mask:   span(w.Accelerators),
 		cores:  w.Cores,
 		memory: w.Memory,
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -294,6 +294,9 @@
 			shape: shape,
 		})
 	}
+	slices.SortStableFunc(sp.units, func(a, b *unit) int {
+		return a.shape.size() - b.shape.size()
+	})
 	for _, u := range old {
 		s.displace(u)
 	}
--- a/placement/service.go
+++ b/placement/service.go
@@ -128,16 +128,8 @@
 
 func (s *Scheduler) settleOwn(e *entry) bool {
 	pieces := slices.Clone(e.pieces)
-	for i, p := range pieces {
-		run, ok := p.node.extend(e.job, p.mask)
-		if !ok {
-			return false
-		}
-		pieces[i].charge = run
-		p.node.used |= run
-	}
-	for _, p := range pieces {
-		p.node.used &^= p.charge
+	if len(pieces) == 0 || !chargeable(e.job, pieces) {
+		return false
 	}
 	if !e.space.covers(pieces) && !s.coverAny(e, pieces) {
 		return false
@@ -147,6 +139,22 @@
 	return true
 }
 
+// chargeable sets the charges of pieces that run already. It reports whether all of them can be charged.
+func chargeable(j Job, pieces []piece) bool {
+	ok := true
+	for i, p := range pieces {
+		pieces[i].charge, ok = p.node.extend(j, p.mask)
+		if !ok {
+			break
+		}
+		p.node.used |= pieces[i].charge
+	}
+	for _, p := range pieces {
+		p.node.used &^= p.charge
+	}
+	return ok
+}
+
 func (s *Scheduler) coverAny(e *entry, pieces []piece) bool {
 	return slices.ContainsFunc(e.space.units, func(u *unit) bool {
 		return u.jobs == 0 && u.holds(e.job) && s.plan.cover(u, pieces)
@@ -289,6 +297,7 @@
 func (s *Scheduler) probeWith(n *node) *entry {
 	rooms := make([]room, len(s.cell.nodes))
 	rooms[n.index] = room{
+		open:   true,
 		mask:   n.free &^ n.claimed,
 		cores:  n.freeCores - n.claimedCores,
 		memory: n.freeMemory - n.claimedMemory,
--- a/placement/try.go
+++ b/placement/try.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -13,6 +14,7 @@
 	for _, n := range s.cell.nodes {
 		r := room{}
 		if n.accepts(now) && !e.avoids(n) {
+			r.open = true
 			r.mask = n.free &^ n.claimed
 			r.cores = n.freeCores - n.claimedCores
 			r.memory = n.freeMemory - n.claimedMemory
@@ -26,10 +28,10 @@
 	return s.rooms
 }
 
-// ownRooms reduces rooms to the unused parts of the workspace's units.
-func (s *Scheduler) ownRooms(e *entry, rooms []room) []room {
+// ownRooms reduces rooms to the unused parts of units of one workspace.
+func (s *Scheduler) ownRooms(rooms []room, units ...*unit) []room {
 	own := make([]uint64, len(rooms))
-	for _, u := range e.space.units {
+	for _, u := range units {
 		for _, c := range u.cells {
 			own[c.node.index] |= c.mask
 		}
@@ -37,10 +39,50 @@
 	for i, n := range s.cell.nodes {
 		rooms[i].mask &= own[i] &^ n.used
 		rooms[i].dear = own[i] &^ n.pinned
+		rooms[i].open = rooms[i].open && rooms[i].mask != 0
 	}
 	return rooms
 }
 
+// candidates lists the sets of units in which a job may run: units that are in use already, then unused ones of its own
+// shape or else the smallest that hold it. It may not break a larger shape while a smaller one is unused. A job that no
+// unit holds may use several together.
+func (sp *space) candidates(j Job) [][]*unit {
+	var out [][]*unit
+	var together []*unit
+	for _, u := range sp.units {
+		if u.placed() && u.jobs > 0 {
+			out = append(out, []*unit{u})
+			together = append(together, u)
+		}
+	}
+	floating := sp.floating(j)
+	for _, u := range floating {
+		out = append(out, []*unit{u})
+	}
+	if len(floating) == 0 && !slices.ContainsFunc(sp.units, func(u *unit) bool { return u.holds(j) }) {
+		return append(out, sp.units)
+	}
+	return append(out, append(together, floating...))
+}
+
+// floating returns the unused units of the job's own shape, or else the smallest ones that hold it.
+func (sp *space) floating(j Job) []*unit {
+	var out []*unit
+	for _, u := range sp.units {
+		if u.jobs > 0 || !u.placed() || !u.holds(j) {
+			continue
+		}
+		if u.shape == j.shape() && (len(out) == 0 || out[0].shape != u.shape) {
+			out = out[:0]
+		}
+		if len(out) == 0 || out[0].shape == u.shape || out[0].shape != j.shape() && out[0].shape.size() == u.shape.size() {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // try places an entry now, or claims a place that evictions will vacate.
 func (s *Scheduler) try(now time.Time, e *entry) bool {
 	if len(e.space.units) > 0 && (s.tryOwn(now, e) || s.tryCover(now, e)) {
@@ -57,20 +99,24 @@
 
 // tryOwn places an entry in free parts of its workspace's units.
 func (s *Scheduler) tryOwn(now time.Time, e *entry) bool {
-	rooms := s.ownRooms(e, s.baseRooms(now, e, false))
-	pieces, ok := s.finder.find(rooms, e.chargedWant())
-	if !ok {
-		return false
+	for _, units := range e.space.candidates(e.job) {
+		rooms := s.ownRooms(s.baseRooms(now, e, false), units...)
+		pieces, ok := s.finder.find(rooms, e.chargedWant())
+		if !ok {
+			continue
+		}
+		s.take(e, pieces)
+		s.charge(e)
+		s.start(now, e, "within the guarantee")
+		return true
 	}
-	s.take(e, pieces)
-	s.charge(e)
-	s.start(now, e, "within the guarantee")
-	return true
+	return false
 }
 
 // tryCover places an entry on free accelerators and moves a floating unit of its workspace there.
 func (s *Scheduler) tryCover(now time.Time, e *entry) bool {
-	if !e.space.floats(e.job) {
+	units := e.space.floating(e.job)
+	if len(units) == 0 {
 		return false
 	}
 	rooms := s.baseRooms(now, e, true)
@@ -83,8 +129,8 @@
 		return false
 	}
 	pieces = append([]piece(nil), pieces...)
-	for _, u := range e.space.units {
-		if u.jobs > 0 || !u.placed() || !u.holds(e.job) || !s.plan.cover(u, pieces) {
+	for _, u := range units {
+		if !s.plan.cover(u, pieces) {
 			continue
 		}
 		s.take(e, pieces)
@@ -112,22 +158,25 @@
 	if e.job.Urgent {
 		limit = min(limit, s.config.Urgent)
 	}
-	rooms := s.evictRooms(now, e, func(other *entry) bool { return other.mode == borrowed })
-	own := s.ownRooms(e, rooms)
-	for i, n := range s.cell.nodes {
-		own[i].dear = n.all &^ n.free
-	}
-	w := e.chargedWant()
-	w.weight = evictWeight
-	pieces, ok := s.finder.find(own, w)
-	if !ok {
-		return false
+	for _, units := range e.space.candidates(e.job) {
+		rooms := s.evictRooms(now, e, func(other *entry) bool { return other.mode == borrowed })
+		rooms = s.ownRooms(rooms, units...)
+		for i, n := range s.cell.nodes {
+			rooms[i].dear = n.all &^ n.free
+		}
+		w := e.chargedWant()
+		w.weight = evictWeight
+		pieces, ok := s.finder.find(rooms, w)
+		if !ok {
+			continue
+		}
+		s.take(e, pieces)
+		s.charge(e)
+		s.claim(e)
+		s.vacateFor(now, e, limit, "workspace "+e.space.Name+" reclaims its guarantee")
+		return true
 	}
-	s.take(e, pieces)
-	s.charge(e)
-	s.claim(e)
-	s.vacateFor(now, e, limit, "workspace "+e.space.Name+" reclaims its guarantee")
-	return true
+	return false
 }
 
 // tryPreempt claims a place for an urgent entry on accelerators of borrowed work that is not urgent, as long as the
@@ -222,19 +271,13 @@
 	return r.cores < 0 || r.memory < 0
 }
 
-// floats reports whether a unit without jobs could hold the job.
-func (sp *space) floats(j Job) bool {
-	for _, u := range sp.units {
-		if u.jobs == 0 && u.placed() && u.holds(j) {
-			return true
-		}
-	}
-	return false
-}
-
-// holds reports whether the job's accelerators are no more than the unit's.
+// holds reports whether the unit is large enough for the job.
 func (u *unit) holds(j Job) bool {
-	return j.Accelerators <= u.shape.Accelerators && j.size() <= u.shape.Members*u.shape.Accelerators
+	charge := max(j.Accelerators, 1)
+	if u.placed() {
+		charge = u.cells[0].node.charge(j)
+	}
+	return u.shape.members(j.Scope, charge) >= j.Members
 }
 
 // reclaim is the workspace's limit for evicting borrowers.
