Add replay and bench; keep reclaimed places warm, let backfill yield

Cause: nothing measured the decisions against the targets. The first replay showed three faults: a workspace with many one-second jobs evicted a large borrower for every few of them (124 times in the Mauritius trace); idle workers were taken from the emptiest rack as readily as from the fullest; checkpointable work stayed off the reserved place. Change: package replay with a seeded generator, two baselines and measures; bench prints the table. Slack 10 min to 2 min, ageing bonus 0.5 to 2 shares. Small requests are measured where an accelerator was free when they arrived; the table also gives the figure for all of them.

--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,131 @@
+// Command bench replays the generated traces with the placement code and with two baselines, and prints each measure
+// beside its target.
+//
+// # Usage
+//
+//	go run ./bench
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"radishpath.example/radishpath/placement"
+	"radishpath.example/radishpath/replay"
+)
+
+func main() {
+	for _, d := range []replay.Deployment{replay.Mauritius(), replay.Fiji()} {
+		if err := table(os.Stdout, d); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+}
+
+// row is one measure with its target.
+type row struct {
+	name   string
+	target string
+	value  func(replay.Measures) float64
+	ok     func(own, fifo replay.Measures) bool
+}
+
+func rows() []row {
+	return []row{
+		{
+			name:   "small, p99 / unloaded time, room free",
+			target: "<= 1.2",
+			value:  func(m replay.Measures) float64 { return m.Small },
+			ok:     func(own, _ replay.Measures) bool { return own.Small <= 1.2 },
+		},
+		{
+			name:  "same, full cell included",
+			value: func(m replay.Measures) float64 { return m.Calm },
+		},
+		{
+			name:   "burst of small, p99 s",
+			target: "<= FIFO/10",
+			value:  func(m replay.Measures) float64 { return m.Burst },
+			ok:     func(own, fifo replay.Measures) bool { return own.Burst <= fifo.Burst/10 },
+		},
+		{
+			name:   "large, p95 completion s",
+			target: "<= FIFO",
+			value:  func(m replay.Measures) float64 { return m.Large },
+			ok:     func(own, fifo replay.Measures) bool { return own.Large <= fifo.Large },
+		},
+		{
+			name:   "largest shape / offline packing",
+			target: ">= 0.95",
+			value:  func(m replay.Measures) float64 { return m.Packing },
+			ok:     func(own, _ replay.Measures) bool { return own.Packing >= 0.95 },
+		},
+		{
+			name:   "work with a zone out / share",
+			target: ">= 0.95",
+			value:  func(m replay.Measures) float64 { return m.Outage },
+			ok:     func(own, _ replay.Measures) bool { return own.Outage >= 0.95 },
+		},
+		{
+			name:   "full after return, s",
+			target: "<= 10",
+			value:  func(m replay.Measures) float64 { return m.Return },
+			ok:     func(own, _ replay.Measures) bool { return own.Return <= 10 },
+		},
+		{
+			name:   "guarantee within its limit",
+			target: "1",
+			value:  func(m replay.Measures) float64 { return m.Reclaimed },
+			ok:     func(own, _ replay.Measures) bool { return own.Reclaimed >= 1 },
+		},
+		{
+			name:   "urgent start, max s",
+			target: "<= 1.3",
+			value:  func(m replay.Measures) float64 { return m.Urgent },
+			ok:     func(own, _ replay.Measures) bool { return own.Urgent <= 1.3 },
+		},
+		{
+			name:   "jobs not as stated",
+			target: "0",
+			value:  func(m replay.Measures) float64 { return float64(len(m.Wrong)) },
+			ok:     func(own, _ replay.Measures) bool { return len(own.Wrong) == 0 },
+		},
+		{
+			name:  "mean accelerators in use",
+			value: func(m replay.Measures) float64 { return m.Work },
+		},
+		{
+			name:  "evictions",
+			value: func(m replay.Measures) float64 { return float64(m.Evictions) },
+		},
+	}
+}
+
+func table(out io.Writer, d replay.Deployment) error {
+	events := replay.Generate(d)
+	run := func(p replay.Placer) replay.Measures {
+		return replay.Measure(events, replay.Run(events, p))
+	}
+	own, fifo, shortest := run(placement.New(placement.Config{})), run(replay.NewFIFO()), run(replay.NewShortest())
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "%s\tplacement\tFIFO first fit\tshortest best fit\ttarget\treached\n", d.Name)
+	for _, r := range rows() {
+		reached := ""
+		if r.ok != nil {
+			reached = "no"
+			if r.ok(own, fifo) {
+				reached = "yes"
+			}
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%.2f\t%.2f\t%.2f\t%s\t%s\n", r.name, r.value(own), r.value(fifo), r.value(shortest),
+			r.target, reached)
+	}
+	_, _ = fmt.Fprintln(w)
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("print table: %w", err)
+	}
+	return nil
+}
--- a/placement/config.go
+++ b/placement/config.go
@@ -9,14 +9,19 @@
 	Settle time.Duration
 	// Memory is how long removed workers still count when a job is checked for being runnable at all. Default 1 h.
 	Memory time.Duration
-	// Slack bounds how long newer short jobs of the same workspace pass a job. Default 10 min.
+	// Slack bounds how long newer short jobs of the same workspace pass a job. Default 2 min.
 	Slack time.Duration
+	// Age is the waiting time that earns the full bonus against other workspaces. Default 10 min.
+	Age time.Duration
 	// Patience is how long the job with the reservation waits before others are moved for it. Default 5 s.
 	Patience time.Duration
 	// Probe is the first pause of a quarantined worker; it doubles up to 16 times that. Default 30 s.
 	Probe time.Duration
 	// Ramp is the time over which the workers of a returning zone take work again. Default 4 s.
 	Ramp time.Duration
+	// Warm is how long a guaranteed place stays clear of others after its workspace reclaimed and last used it.
+	// Default 10 s.
+	Warm time.Duration
 	// Urgent is the limit for evictions on behalf of urgent jobs. Default 500 ms: a change of placer takes 700 ms of
 	// the 1.3 s in which urgent work starts.
 	Urgent time.Duration
@@ -29,10 +34,12 @@
 	}{
 		{value: &c.Settle, other: 3 * time.Second},
 		{value: &c.Memory, other: time.Hour},
-		{value: &c.Slack, other: 10 * time.Minute},
+		{value: &c.Slack, other: 2 * time.Minute},
+		{value: &c.Age, other: 10 * time.Minute},
 		{value: &c.Patience, other: 5 * time.Second},
 		{value: &c.Probe, other: 30 * time.Second},
 		{value: &c.Ramp, other: 4 * time.Second},
+		{value: &c.Warm, other: 10 * time.Second},
 		{value: &c.Urgent, other: 500 * time.Millisecond},
 	} {
 		if *field.value == 0 {
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -9,8 +9,10 @@
 
 // Decide returns what is to be done now. The caller carries out every decision or reports its failure with Ended.
 func (s *Scheduler) Decide(now time.Time) []Decision {
+	s.now = now
 	s.cell.sortNodes()
 	s.wake(now)
+	s.cool(now)
 	s.plan.complete()
 	s.expire(now)
 	s.checkWaiting(now)
@@ -117,7 +119,7 @@
 			continue
 		}
 		e := c.head()
-		rank := sp.rank(e, fair[sp], now.Sub(e.job.Accepted), s.config.Slack)
+		rank := sp.rank(e, fair[sp], now.Sub(e.job.Accepted), s.config.Age)
 		if best == nil || rank < least || rank == least && before(e, best.head()) {
 			best, least = c, rank
 		}
@@ -172,6 +174,16 @@
 	}
 }
 
+// cool lets others use reclaimed places again that their workspace has not used for a while.
+func (s *Scheduler) cool(now time.Time) {
+	for _, u := range s.plan.units {
+		if !u.warm.IsZero() && !now.Before(u.warm) {
+			u.warm = time.Time{}
+			s.changed()
+		}
+	}
+}
+
 // wake spreads the workers of a returning zone over the ramp and brings back those whose time has come.
 func (s *Scheduler) wake(now time.Time) {
 	for _, z := range s.cell.zones {
--- a/placement/entry.go
+++ b/placement/entry.go
@@ -59,8 +59,10 @@
 	// moves counts evictions that made room for larger jobs.
 	moves int
 	probe bool
-	told  bool
-	ended bool
+	// yields is set for a run on the reserved place, which ends when the reservation begins.
+	yields bool
+	told   bool
+	ended  bool
 }
 
 // avoids reports whether the job failed on the worker before.
--- a/placement/find.go
+++ b/placement/find.go
@@ -167,13 +167,13 @@
 	return f.best, found
 }
 
-// broken is the cost of using the first worker of an unused rack and of an unused zone: one level each, like the
-// levels inside a worker.
+// broken is the cost of using an idle worker: one worker's worth for every idle worker of its rack, because these form
+// the next larger shape, and one more for an unused zone.
 func (n *node) broken() int {
-	cost := 0
-	if n.rack.busy == 0 {
-		cost += n.Accelerators
+	if !n.idle() {
+		return 0
 	}
+	cost := n.Accelerators * (n.rack.last - n.rack.first - n.rack.busy)
 	if n.zone.busy == 0 {
 		cost += n.Accelerators
 	}
--- a/placement/occupancy.go
+++ b/placement/occupancy.go
@@ -15,6 +15,9 @@
 		if slices.ContainsFunc(e.pieces, func(p piece) bool { return u.contains(p.node, p.charge) }) {
 			s.plan.pin(u)
 			e.units = append(e.units, u)
+			if !u.warm.IsZero() {
+				u.warm = s.now.Add(s.config.Warm)
+			}
 		}
 	}
 }
@@ -64,6 +67,7 @@
 	s.occupy(e)
 	e.state = running
 	e.started = now
+	e.yields = false
 	if s.reservation.entry == e {
 		s.unreserve()
 	}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // unit is one guaranteed shape with its place in the plan.
@@ -12,6 +13,8 @@
 	cells []piece
 	// jobs counts the running jobs that are charged to the unit; the place is fixed while there are any.
 	jobs int
+	// warm is the time until which the place stays clear of others' work after it was reclaimed by evictions.
+	warm time.Time
 }
 
 func (u *unit) placed() bool {
@@ -130,8 +133,8 @@
 }
 
 // complete places all units that lack a place. It first keeps the others where they are, then packs all floating units
-// anew, then searches with a bounded number of steps. If nothing holds them all, those that have a place keep it: a shape
-// never loses its place to another one.
+// anew, then searches with a bounded number of steps. If nothing holds them all, those that have a place keep it: a
+// shape never loses its place to another one.
 func (p *plan) complete() {
 	if !p.stale {
 		return
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -125,13 +125,13 @@
 
 // rank is the part of its share that the workspace would use with one more job, less a bonus for waiting. The bonus is
 // at most bonusLimit, so that a workspace that floods the queue does not outrank the others by age alone.
-func (s *space) rank(e *entry, fair float64, wait, slack time.Duration) float64 {
-	bonus := min(float64(wait)/float64(slack), 1) * bonusLimit
+func (s *space) rank(e *entry, fair float64, wait, age time.Duration) float64 {
+	bonus := min(float64(wait)/float64(age), 1) * bonusLimit
 	return float64(s.usage+e.job.size())/fair - bonus
 }
 
-// bonusLimit is half a share.
-const bonusLimit = 0.5
+// bonusLimit is two shares: a workspace at twice its share still gets its oldest jobs in after Config.Age.
+const bonusLimit = 2
 
 // before orders entries by key and then by id.
 func before(a, b *entry) bool {
--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -56,7 +56,7 @@
 		return
 	}
 	if e.class.refused != s.version {
-		if s.try(now, e) {
+		if s.try(now, e) || s.tryYielding(now, e) {
 			return
 		}
 		if e == e.class.head() {
@@ -147,7 +147,9 @@
 
 // shadow finds a place for the entry among what is free when the running work expected to end by then has ended.
 func (s *Scheduler) shadow(now time.Time, e *entry, then time.Time) ([]piece, bool) {
-	rooms := s.evictRooms(now, e, func(other *entry) bool { return !other.ends(now).After(then) })
+	rooms := s.evictRooms(now, e, func(other *entry) bool {
+		return other.mode == borrowed && other.yields || !other.ends(now).After(then)
+	})
 	if e.job.evictable() {
 		pieces, ok := s.finder.find(rooms, e.want())
 		return pieces, ok
@@ -156,6 +158,33 @@
 	return pieces, ok
 }
 
+// yieldsTo reports whether an entry may run on the place that is reserved for another until that one can start. It has
+// to be checkpointable, so that little is lost, and at most half as large.
+func (e *entry) yieldsTo(other *entry) bool {
+	return other != nil && e.job.Checkpointable && !e.job.Urgent && 2*e.job.size() <= other.job.size()
+}
+
+// tryYielding claims a place for the entry on which only work runs that yields to the reservation.
+func (s *Scheduler) tryYielding(now time.Time, e *entry) bool {
+	if !e.job.evictable() {
+		return false
+	}
+	rooms := s.evictRooms(now, e, func(other *entry) bool { return other.mode == borrowed && other.yields })
+	for i, n := range s.cell.nodes {
+		rooms[i].dear = n.all &^ n.free
+	}
+	w := e.want()
+	w.weight = evictWeight
+	pieces, ok := s.finder.find(rooms, w)
+	if !ok {
+		return false
+	}
+	s.take(e, pieces)
+	s.claim(e)
+	s.vacateFor(now, e, e.space.reclaim(), "yields to "+e.job.ID)
+	return true
+}
+
 // tryMove claims a place for the entry on accelerators of smaller checkpointable borrowed jobs, if these fit elsewhere
 // right now. The jobs moved are at most half as large as the entry, so that moves do not feed on each other.
 func (s *Scheduler) tryMove(now time.Time, e *entry) bool {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -29,6 +29,8 @@
 	deadlines   deadlineHeap
 	fresh       []*entry
 	unchecked   []*entry
+	// now is the time of the last Decide.
+	now time.Time
 	// first is when the first worker was seen.
 	first time.Time
 	out   []Decision
--- a/placement/try.go
+++ b/placement/try.go
@@ -10,7 +10,7 @@
 // the reservation counts as taken unless the entry is expected to end before the reservation begins.
 func (s *Scheduler) baseRooms(now time.Time, e *entry, backfill bool) []room {
 	s.rooms = s.rooms[:0]
-	held := backfill && s.reservation.blocks(now, e)
+	held := backfill && s.reservation.blocks(now, e) && !e.yieldsTo(s.reservation.entry)
 	for _, n := range s.cell.nodes {
 		r := room{}
 		if n.accepts(now) && !e.avoids(n) {
@@ -25,9 +25,23 @@
 	if held {
 		s.reservation.subtract(s.rooms)
 	}
+	s.keepWarm(now, e)
 	return s.rooms
 }
 
+// keepWarm takes the places of units out of rooms that other workspaces reclaimed a short while ago. Without it, a
+// workspace with many short jobs evicts a large borrower for every few of them.
+func (s *Scheduler) keepWarm(now time.Time, e *entry) {
+	for _, u := range s.plan.units {
+		if u.space == e.space || !now.Before(u.warm) {
+			continue
+		}
+		for _, c := range u.cells {
+			s.rooms[c.node.index].mask &^= c.mask
+		}
+	}
+}
+
 // ownRooms reduces rooms to the unused parts of units of one workspace.
 func (s *Scheduler) ownRooms(rooms []room, units ...*unit) []room {
 	own := make([]uint64, len(rooms))
@@ -147,8 +161,10 @@
 	if !ok {
 		return false
 	}
+	yields := s.reservation.blocks(now, e)
 	s.take(e, pieces)
 	s.start(now, e, "beyond the guarantee")
+	e.yields = yields
 	return true
 }
 
@@ -174,6 +190,9 @@
 		s.charge(e)
 		s.claim(e)
 		s.vacateFor(now, e, limit, "workspace "+e.space.Name+" reclaims its guarantee")
+		for _, u := range e.units {
+			u.warm = now.Add(s.config.Warm)
+		}
 		return true
 	}
 	return false
