--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -29,6 +29,8 @@
 	deadlines   deadlineHeap
 	fresh       []*entry
 	unchecked   []*entry
+	// now is the time of the last Decide.
+	now time.Time
 	// first is when the first worker was seen.
 	first time.Time
 	out   []Decision
@@ -294,6 +296,9 @@
 			shape: shape,
 		})
 	}
+	slices.SortStableFunc(sp.units, func(a, b *unit) int {
+		return a.shape.size() - b.shape.size()
+	})
 	for _, u := range old {
 		s.displace(u)
 	}
