--- a/caller/callerclient/job.go
+++ b/caller/callerclient/job.go
@@ -1,5 +1,7 @@
 package callerclient
 
+import "encoding/json"
+
 // The states of a job.
 const (
 	StateQueued    = "queued"
@@ -30,7 +32,8 @@
 	Declared string `json:"declared,omitempty"`
 	Deadline string `json:"deadline,omitempty"`
 	Kind     string `json:"kind,omitempty"`
-	Payload  string `json:"payload,omitempty"`
+	// Payload is any JSON value; the worker or backend server gets it as it is.
+	Payload json.RawMessage `json:"payload,omitempty"`
 }
 
 // Job is what is known of a job.
--- a/cmd/submitcmd.go
+++ b/cmd/submitcmd.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -27,14 +28,11 @@
 				submission.ID = uuid.NewString()
 			}
 			if len(args) == 1 {
-				submission.Payload = args[0]
-			}
-			if submission.Payload == "-" {
-				text, err := c.readInput("-")
+				payload, err := c.readPayload(args[0])
 				if err != nil {
 					return err
 				}
-				submission.Payload = text
+				submission.Payload = payload
 			}
 			submission.Declared = durationText(declared)
 			submission.Deadline = durationText(deadline)
@@ -62,6 +60,26 @@
 	return submit
 }
 
+// readPayload returns the argument, or the standard input for -, as JSON; other text becomes a JSON string.
+func (c *Config) readPayload(argument string) (json.RawMessage, error) {
+	text := argument
+	if argument == "-" {
+		read, err := c.readInput("-")
+		if err != nil {
+			return nil, err
+		}
+		text = read
+	}
+	if json.Valid([]byte(text)) {
+		return json.RawMessage(text), nil
+	}
+	quoted, err := json.Marshal(text)
+	if err != nil {
+		return nil, fmt.Errorf("encode payload: %w", err)
+	}
+	return quoted, nil
+}
+
 // callError gives the exit code of a call that changes nothing.
 func callError(err error) error {
 	var failure *callerclient.Error
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -55,7 +55,7 @@
 		TLS:       readTLS(file),
 		Operators: readOperators(file),
 	}
-	read.Advertise = readDialed(reader, "advertise", read.Listen)
+	read.Advertise = readAdvertise(reader, read.Listen)
 	reader.Finish()
 	if len(read.Entries) == 0 {
 		read.Entries = []Node{
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -68,7 +68,7 @@
 		TLS:        readTLS(file),
 		Operators:  readOperators(file),
 	}
-	read.Advertise = readDialed(reader, "advertise", read.Listen)
+	read.Advertise = readAdvertise(reader, read.Listen)
 	reader.Finish()
 	if len(read.Peers) > 0 && !reader.Has("id") {
 		reader.Bad("id", "is missing; an entry with peers needs an id of its own")
--- a/settings/values.go
+++ b/settings/values.go
@@ -71,6 +71,15 @@
 	return address
 }
 
+// readAdvertise reads the address that other processes dial; it is the listen address unless set.
+func readAdvertise(reader *inifile.Reader, listen string) string {
+	address := reader.String("advertise", "")
+	if address == "" {
+		return listen
+	}
+	return readDialed(reader, "advertise", listen)
+}
+
 // readDistance reads zone=duration pairs.
 func readDistance(reader *inifile.Reader) map[string]time.Duration {
 	distance := map[string]time.Duration{}
