Order attempts of a job across its members

Cause: attempts were ordered per member, so a late start of attempt 1 of member 0 was accepted on a worker that held attempt 2 of member 3. Change: the newest attempt is known per job; holds of older attempts are dropped. Conclusion: an older attempt of a job is refused once a newer one is known to the agent.

--- a/agent/fences.go
+++ b/agent/fences.go
@@ -11,11 +11,12 @@
 // day, and an attempt that is older than that has ended.
 const maxFences = 1 << 16
 
-// fences remembers attempts: one older than the newest known is refused, and so is one that was started, refused
-// for good or declared unknown to its owner.
+// fences remembers attempts: one older than the newest known of its job is refused, and so is a member of one that was
+// started, refused for good or declared unknown to its owner.
 type fences struct {
-	mu   sync.Mutex
-	jobs *lru.Cache[fenceKey, fence]
+	mu      sync.Mutex
+	known   *lru.Cache[string, attempt]
+	members *lru.Cache[fenceKey, fence]
 }
 
 type fenceKey struct {
@@ -25,52 +26,53 @@
 
 // fence is the newest attempt of each kind. One that is ran may have run, and its result was acknowledged.
 type fence struct {
-	known  attempt
 	closed attempt
 	ran    attempt
 }
 
 func newFences() *fences {
-	jobs, err := lru.New[fenceKey, fence](maxFences)
+	return &fences{
+		known:   newCache[string, attempt](),
+		members: newCache[fenceKey, fence](),
+	}
+}
+
+func newCache[K comparable, V any]() *lru.Cache[K, V] {
+	cache, err := lru.New[K, V](maxFences)
 	if err != nil {
 		panic(err) // the size is a positive constant.
 	}
-	return &fences{
-		jobs: jobs,
-	}
+	return cache
 }
 
 // check refuses an attempt that is older than the newest known one or closed.
 func (f *fences) check(k key) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	found, ok := f.jobs.Get(k.fence())
-	switch {
-	case !ok:
-		return nil
-	case k.attempt.compare(found.known) < 0:
-		return fmt.Errorf("attempt %s is older than %s", k.attempt, found.known)
-	case k.attempt.compare(found.closed) <= 0:
+	if known, _ := f.known.Get(k.job); k.attempt.compare(known) < 0 {
+		return fmt.Errorf("attempt %s is older than %s", k.attempt, known)
+	}
+	if found, ok := f.members.Get(k.fence()); ok && k.attempt.compare(found.closed) <= 0 {
 		return fmt.Errorf("attempt %s was settled before", k.attempt)
 	}
 	return nil
 }
 
-// close makes check refuse the attempt and all older ones.
+// close makes check refuse the member's attempt and all older ones.
 func (f *fences) close(k key) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	found, _ := f.jobs.Get(k.fence())
-	found.known = later(found.known, k.attempt)
+	f.noteLocked(k)
+	found, _ := f.members.Get(k.fence())
 	found.closed = later(found.closed, k.attempt)
-	f.jobs.Add(k.fence(), found)
+	f.members.Add(k.fence(), found)
 }
 
-// closedFor reports whether the attempt is closed.
+// closedFor reports whether the member's attempt is closed.
 func (f *fences) closedFor(k key) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	found, ok := f.jobs.Get(k.fence())
+	found, ok := f.members.Get(k.fence())
 	return ok && k.attempt.compare(found.closed) <= 0
 }
 
@@ -78,7 +80,7 @@
 func (f *fences) hasRun(k key) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	found, ok := f.jobs.Get(k.fence())
+	found, ok := f.members.Get(k.fence())
 	return ok && k.attempt.compare(found.ran) <= 0
 }
 
@@ -86,7 +88,7 @@
 func (f *fences) hasRunBefore(k key) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	found, ok := f.jobs.Get(k.fence())
+	found, ok := f.members.Get(k.fence())
 	return ok && found.ran != attempt{}
 }
 
@@ -94,18 +96,21 @@
 func (f *fences) markRun(k key) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	found, _ := f.jobs.Get(k.fence())
+	found, _ := f.members.Get(k.fence())
 	found.ran = later(found.ran, k.attempt)
-	f.jobs.Add(k.fence(), found)
+	f.members.Add(k.fence(), found)
 }
 
-// note makes check refuse attempts older than this one.
+// note makes check refuse attempts of the job that are older than this one.
 func (f *fences) note(k key) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	found, _ := f.jobs.Get(k.fence())
-	found.known = later(found.known, k.attempt)
-	f.jobs.Add(k.fence(), found)
+	f.noteLocked(k)
+}
+
+func (f *fences) noteLocked(k key) {
+	known, _ := f.known.Get(k.job)
+	f.known.Add(k.job, later(known, k.attempt))
 }
 
 func (k key) fence() fenceKey {
--- a/agent/holds.go
+++ b/agent/holds.go
@@ -238,10 +238,11 @@
 	return nil
 }
 
-// dropOlder drops holds and commitments of older attempts.
+// dropOlder drops holds and commitments of the job's older attempts, and that of the same member.
 func (h *holds) dropOlder(k key) {
 	for other, r := range h.all {
-		if r.state != started && k.covers(other) {
+		older := k.job == other.job && other.attempt.compare(k.attempt) < 0
+		if r.state != started && (older || other == k) {
 			delete(h.all, other)
 			h.change++
 		}
--- a/agent/holds_test.go
+++ b/agent/holds_test.go
@@ -89,6 +89,15 @@
 			},
 			reason: "attempt 7.1 is older than 7.2",
 		},
+		{
+			name: "older attempt of another member",
+			try: func(s *system, a *Agent) *peerpb.Verdict {
+				s.prepare(a)
+				require.True(s.t, s.hold(a, holdOf("job", 2, 3, 1, 1)).GetOk())
+				return s.startTask(a, "job", 0)
+			},
+			reason: "attempt 7.1 is older than 7.2",
+		},
 		{
 			name: "attempt that the owner was told is unknown",
 			try: func(s *system, a *Agent) *peerpb.Verdict {
