Skip shapes that were refused already; cache the list of workers

Classes that differ only by kind were tried one after the other, and every Submit sorted all workers. Change: a refused shape is not tried again for jobs of the same workspace that are no easier to place; the list of known workers is cached. Go benchmarks for decisions, gangs and cancellations.

--- /dev/null
+++ b/placement/bench_test.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// filled returns a cell of workers with three in four accelerators in use and the given number of queued jobs of 40
+// shapes that do not fit.
+func filled(b *testing.B, workers, waiting int) (*Scheduler, time.Time) {
+	b.Helper()
+	s := newCellOf(workers, Policy{
+		Workspaces: []Workspace{
+			{Name: "weddings", Share: 40, Guarantees: []Shape{{Members: 2, Accelerators: 4, Scope: ScopeRack}}},
+			{Name: "hotel", Share: 30, Guarantees: []Shape{{Members: 1, Accelerators: 8, Scope: ScopeWorker}}},
+			{Name: "garden", Share: 20},
+			{Name: "beach", Share: 10},
+		},
+	})
+	now := epoch().Add(time.Minute)
+	names := []string{"weddings", "hotel", "garden", "beach"}
+	for i := range workers * 3 {
+		submit(b, s, now, jobOf(fmt.Sprintf("run%d", i), names[i%4], 1, 2, ScopeWorker))
+	}
+	s.Decide(now)
+	for i := range waiting {
+		j := jobOf(fmt.Sprintf("wait%d", i), names[i%4], 3, 8, ScopeRack)
+		j.Kind = fmt.Sprintf("kind%d", i%10)
+		submit(b, s, now, j)
+	}
+	s.Decide(now)
+	return s, now
+}
+
+func submit(b *testing.B, s *Scheduler, now time.Time, j Job) {
+	b.Helper()
+	if err := s.Submit(now, j); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkDecide measures one end and one placement of a job of two accelerators with 1,000 jobs queued.
+func BenchmarkDecide(b *testing.B) {
+	for _, workers := range []int{11, 128, 1500} {
+		b.Run(fmt.Sprintf("%d_workers", workers), func(b *testing.B) {
+			s, now := filled(b, workers, 1000)
+			b.ReportAllocs()
+			last := "run0"
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Second)
+				s.Ended(now, last, Result{
+					OK: true,
+				})
+				last = fmt.Sprintf("next%d", i)
+				j := jobOf(last, "weddings", 1, 2, ScopeWorker)
+				submit(b, s, now, j)
+				s.Decide(now)
+			}
+		})
+	}
+}
+
+// BenchmarkGang measures the placement of a gang of 1024 members in an empty cell.
+func BenchmarkGang(b *testing.B) {
+	for _, workers := range []int{128, 1500} {
+		b.Run(fmt.Sprintf("%d_workers", workers), func(b *testing.B) {
+			s := newCellOf(workers, Policy{})
+			now := epoch().Add(time.Minute)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				id := fmt.Sprintf("gang%d", i)
+				submit(b, s, now, jobOf(id, "hotel", 1024, 1, ScopeAny))
+				if d := s.Decide(now); len(d) != 1 || d[0].Kind != Place {
+					b.Fatalf("%v", d)
+				}
+				s.Ended(now, id, Result{
+					OK: true,
+				})
+			}
+		})
+	}
+}
+
+// BenchmarkCancel measures one cancellation while 1,000 and 100,000 jobs wait.
+func BenchmarkCancel(b *testing.B) {
+	for _, waiting := range []int{1000, 100000} {
+		b.Run(fmt.Sprintf("%d_queued", waiting), func(b *testing.B) {
+			s, now := filled(b, 11, waiting)
+			for i := 0; b.Loop(); i++ {
+				j := jobOf(fmt.Sprintf("c%d", i), "garden", 3, 8, ScopeRack)
+				submit(b, s, now, j)
+				s.Cancel(now, j.ID)
+			}
+		})
+	}
+}
--- a/placement/cell.go
+++ b/placement/cell.go
@@ -17,6 +17,9 @@
 	dirty bool
 	// past holds removed workers, which still count when a job is checked for being runnable at all.
 	past map[string]removed
+	// listed caches what known returned at listedAt; nil after a worker changed.
+	listed   []Worker
+	listedAt time.Time
 }
 
 type removed struct {
@@ -47,6 +50,9 @@
 
 // known returns the workers that count for being runnable at all, in a fixed order.
 func (c *cell) known(now time.Time, memory time.Duration) []Worker {
+	if c.listed != nil && now.Sub(c.listedAt) < time.Minute {
+		return c.listed
+	}
 	workers := make([]Worker, 0, len(c.byID)+len(c.past))
 	for _, n := range c.byID {
 		workers = append(workers, n.Worker)
@@ -61,6 +67,7 @@
 	slices.SortFunc(workers, func(a, b Worker) int {
 		return cmp.Compare(a.ID, b.ID)
 	})
+	c.listed, c.listedAt = workers, now
 	return workers
 }
 
@@ -73,6 +80,7 @@
 		at:     now,
 	}
 	c.dirty = true
+	c.listed = nil
 }
 
 // sortNodes rebuilds the order and the groups after workers came or went.
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -152,10 +152,14 @@
 			break
 		}
 		e := c.head()
+		if e.space.hopeless(e, s.version) {
+			c.refused = s.version
+			continue
+		}
 		if s.try(now, e) {
 			continue
 		}
-		c.refused = s.version
+		e.space.refuse(e, s.version)
 		s.considerReserving(now, e)
 	}
 	s.reserveOldest(now)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -67,6 +67,9 @@
 	units []*unit
 	// usage counts accelerators of running jobs and claims.
 	usage int
+	// refusals are what did not fit at the version in refusedAt.
+	refusals  []refusal
+	refusedAt uint64
 	// listed is false for a workspace that has jobs but is not in the policy.
 	listed bool
 }
@@ -78,6 +81,47 @@
 	}
 }
 
+// refusal is a shape that did not fit, with the run time for which it was tried as backfill.
+type refusal struct {
+	shape     shapeKey
+	remaining time.Duration
+}
+
+// hopeless reports whether a job that is no easier to place was refused at this version: same shape, no more cores and
+// memory, no longer run time.
+func (s *space) hopeless(e *entry, version uint64) bool {
+	if s.refusedAt != version {
+		return false
+	}
+	key := e.shapeKey()
+	key.kind, key.alone = "", ""
+	return slices.ContainsFunc(s.refusals, func(r refusal) bool {
+		if r.shape.cores > key.cores || r.shape.memory > key.memory || r.remaining > e.remaining() {
+			return false
+		}
+		r.shape.cores, r.shape.memory = key.cores, key.memory
+		return r.shape == key
+	})
+}
+
+// refuse records that an entry did not fit.
+func (s *space) refuse(e *entry, version uint64) {
+	e.class.refused = version
+	if s.refusedAt != version {
+		s.refusedAt = version
+		s.refusals = s.refusals[:0]
+	}
+	key := e.shapeKey()
+	if key.alone != "" {
+		return
+	}
+	key.kind = ""
+	s.refusals = append(s.refusals, refusal{
+		shape:     key,
+		remaining: e.remaining(),
+	})
+}
+
 // push queues an entry.
 func (s *space) push(e *entry) {
 	key := e.shapeKey()
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -184,6 +184,7 @@
 	delete(s.cell.past, w.ID)
 	s.cell.byID[w.ID] = n
 	s.cell.dirty = true
+	s.cell.listed = nil
 	s.changed()
 }
 
--- a/placement/service.go
+++ b/placement/service.go
@@ -219,6 +219,7 @@
 	n.freeMemory += w.Memory - n.Memory
 	leaves := w.Leaving && !n.Leaving
 	n.Worker = w
+	s.cell.listed = nil
 	if leaves {
 		s.cell.sortNodes()
 		s.retire(n)
