--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -326,10 +326,11 @@
 func advance(t *testing.T, clock *clockwork.FakeClock, done func() bool) {
 	t.Helper()
 	require.Eventually(t, func() bool {
-		if !done() {
-			clock.Advance(50 * time.Millisecond)
+		if done() {
+			return true
 		}
-		return done()
+		clock.Advance(50 * time.Millisecond)
+		return false
 	}, time.Minute, 200*time.Microsecond)
 }
 
