Show an answer that is not UTF-8 as failed

Cause: JSON replaces bytes that are not UTF-8 without notice, so a caller would take a changed answer for a whole one. Change: such an answer is dropped and the job shown as failed with a reason. Measured: go test -race of the four packages passes; linter clean. Conclusion: callers see an answer whole or not at all.

--- a/caller/server.go
+++ b/caller/server.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
@@ -342,6 +344,13 @@
 			Reasons:   []string{"the state could not be determined; ask again by the id"},
 		}
 	}
+	if !utf8.ValidString(status.Answer) {
+		// JSON would replace the bytes silently, and a changed answer must not look whole.
+		s.config.Logger.Error("answer is not UTF-8", "job", id, "workspace", workspace)
+		status.State = StateFailed
+		status.Answer = ""
+		status.Reasons = append(slices.Clone(status.Reasons), "the job ran, but its answer is not UTF-8 text")
+	}
 	if status.Reasons == nil {
 		status.Reasons = []string{}
 	}
--- a/caller/status.go
+++ b/caller/status.go
@@ -33,9 +33,10 @@
 
 // Status is what a caller learns about a job.
 type Status struct {
-	ID        string   `json:"id"`
-	State     State    `json:"state"`
-	Workspace string   `json:"workspace"`
-	Answer    string   `json:"answer"`
-	Reasons   []string `json:"reasons"`
+	ID        string `json:"id"`
+	State     State  `json:"state"`
+	Workspace string `json:"workspace"`
+	// Answer must be UTF-8; a job with another answer is shown as failed.
+	Answer  string   `json:"answer"`
+	Reasons []string `json:"reasons"`
 }
