--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -140,11 +140,6 @@
 	return found
 }
 
-// isUsable says whether new work may be sent to the agent.
-func (v agentView) isUsable(now time.Time) bool {
-	return v.worker != nil && !v.leaving && now.Sub(v.heard) <= agentSilence
-}
-
 // accelerators counts the accelerators of a task.
 func accelerators(task *peerpb.TaskInfo) int {
 	return bits.OnesCount64(task.GetAccelerators())
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -78,12 +78,9 @@
 	term, _ := e.terms.current()
 	reply := &peerpb.AnnounceReply{
 		Term:    term,
-		Entries: []*peerpb.EntryInfo{e.info()},
+		Entries: append(e.members.heard(), e.info()),
 		Resend:  resend,
 	}
-	for _, known := range e.members.list() {
-		reply.Entries = append(reply.Entries, known.info)
-	}
 	if asOf, ok := confirmation(now, e.documents.lastRead(), e.members.list()); ok {
 		reply.Confirmed = true
 		reply.Age = durationpb.New(now.Sub(asOf))
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -32,9 +32,7 @@
 		Placer:   placer,
 		Leaving:  e.isLeaving(),
 	}
-	for _, known := range e.members.list() {
-		beat.Known = append(beat.Known, known.info)
-	}
+	beat.Known = e.members.heard()
 	if theirs < revision {
 		beat.Document = &peerpb.Document{
 			Revision: revision,
--- a/entry/members.go
+++ b/entry/members.go
@@ -92,6 +92,18 @@
 	known.info = info
 }
 
+// heard returns the entries that were heard at least once. Only these are named to other processes: the ids in the
+// settings lack the suffix that a process adds to its id at every start.
+func (m *members) heard() []*peerpb.EntryInfo {
+	var infos []*peerpb.EntryInfo
+	for _, known := range m.list() {
+		if !known.heard.IsZero() {
+			infos = append(infos, known.info)
+		}
+	}
+	return infos
+}
+
 // list returns the known entries by id.
 func (m *members) list() []member {
 	m.mu.Lock()
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"time"
 
 	"radishpath.example/radishpath/document"
 	"radishpath.example/radishpath/ledger"
@@ -21,7 +22,12 @@
 	return found.Name, ok
 }
 
-// InEffect names the known entries and agents that have not confirmed a revision.
+// authorityLimit is when a silent process can start nothing any more: an agent's confirmation lapses after 3 s and its
+// lease of the worker 1 s later.
+const authorityLimit = 5 * time.Second
+
+// InEffect names the known entries and agents that have not confirmed a revision. Processes that were silent for
+// authorityLimit are left out: they start nothing until they have the newest revision.
 func (e *Entry) InEffect(revision int64) []string {
 	var missing []string
 	if own, _ := e.documents.current(); own < revision {
@@ -29,12 +35,12 @@
 	}
 	now := e.config.Clock.Now()
 	for _, known := range e.members.list() {
-		if known.reply.GetRevision() < revision && e.members.isAlive(known.info.GetId(), now, pruneSilence) {
+		if known.reply.GetRevision() < revision && e.members.isAlive(known.info.GetId(), now, authorityLimit) {
 			missing = append(missing, known.info.GetId())
 		}
 	}
 	for _, view := range e.fleet.list() {
-		if view.revision < revision {
+		if view.revision < revision && now.Sub(view.heard) <= authorityLimit {
 			missing = append(missing, view.id)
 		}
 	}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -50,7 +50,7 @@
 			state:     stateUnknown,
 			workspace: job.GetWorkspace(),
 			reasons:   []string{"the platform's log did not answer; ask again by id"},
-		}), nil //nolint:nilerr // an unknown outcome is a state that the caller asks for again.
+		}), nil
 	}
 }
 
