--- a/cmd/agentcmd.go
+++ b/cmd/agentcmd.go
@@ -43,7 +43,7 @@
 }
 
 func (c *Config) runAgent(ctx context.Context, read settings.AgentSettings) error {
-	logger := c.newLogger("agent", read.Log)
+	logger := read.Log.NewLogger("agent", c.Stderr)
 	credentials, err := newCredentials(read.TLS)
 	if err != nil {
 		return err
@@ -54,8 +54,8 @@
 		TLS:    credentials.client,
 	})
 	defer pool.Close()
-	metrics := newMetrics("radishpath_agent")
-	defer metrics.close()
+	metrics := operator.NewMetrics(logger)
+	defer func() { _ = metrics.Close() }()
 	a := agent.New(agent.Config{
 		ID:        read.ID,
 		Address:   read.Listen,
@@ -64,7 +64,7 @@
 		Entries:   addresses(read.Entries),
 		Clock:     c.Clock,
 		Logger:    logger,
-		Metrics:   metrics.scope,
+		Metrics:   metrics.Scope,
 		Worker: workerPort(platform.NewWorker(platform.WorkerConfig{
 			Address: hostOf(read.Worker),
 		})),
@@ -90,7 +90,7 @@
 
 // serveAgentAdmin serves health, metrics and profiles to operators.
 func (c *Config) serveAgentAdmin(
-	ctx context.Context, read settings.AgentSettings, metrics metrics, logger hclog.Logger,
+	ctx context.Context, read settings.AgentSettings, metrics *operator.Metrics, logger hclog.Logger,
 ) (<-chan error, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", read.Admin)
 	if err != nil {
@@ -100,7 +100,7 @@
 		Logger:    logger,
 		Clock:     c.Clock,
 		Operators: read.Operators,
-		Metrics:   metrics.handler,
+		Metrics:   metrics.Handler,
 	})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(ctx, listener) }()
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -42,7 +42,7 @@
 // runEntry serves until ctx ends. The callers' connections end first, then the jobs are handed over, and operators are
 // served until the end.
 func (c *Config) runEntry(ctx context.Context, read settings.EntrySettings) error {
-	logger := c.newLogger("entry", read.Log)
+	logger := read.Log.NewLogger("entry", c.Stderr)
 	e, held, err := c.newEntry(read, logger)
 	if err != nil {
 		return err
@@ -62,7 +62,7 @@
 	go func() { ran <- e.Run(run, listeners[0]) }()
 	go func() { served <- c.newCallerServer(read, e, logger).Serve(ctx, listeners[1]) }()
 	go func() {
-		adminServed <- operator.NewServer(e.OperatorConfig(read.Operators, held.metrics.handler)).Serve(admin, listeners[2])
+		adminServed <- operator.NewServer(e.OperatorConfig(read.Operators, held.metrics.Handler)).Serve(admin, listeners[2])
 	}()
 	select {
 	case err = <-served:
@@ -107,14 +107,14 @@
 
 // resources are what an entry holds until it ends.
 type resources struct {
-	metrics metrics
+	metrics *operator.Metrics
 	pool    *peer.Pool
 	trace   interface{ Close() error }
 }
 
 func (r resources) close() {
 	r.pool.Close()
-	r.metrics.close()
+	_ = r.metrics.Close()
 	_ = r.trace.Close()
 }
 
@@ -130,7 +130,7 @@
 		return nil, resources{}, err
 	}
 	held := resources{
-		metrics: newMetrics("radishpath_entry"),
+		metrics: operator.NewMetrics(logger),
 		trace:   trace,
 		pool: peer.NewPool(peer.PoolConfig{
 			Logger: logger,
@@ -152,7 +152,7 @@
 		Peers:   peers,
 		Clock:   c.Clock,
 		Logger:  logger,
-		Metrics: held.metrics.scope,
+		Metrics: held.metrics.Scope,
 		Pool:    held.pool,
 		Log: platform.NewLog(platform.LogConfig{
 			Address: hostOf(read.LogService),
--- a/cmd/process.go
+++ b/cmd/process.go
@@ -3,19 +3,11 @@
 import (
 	"crypto/tls"
 	"fmt"
-	"io"
-	"net/http"
 	"net/url"
-	"time"
-
-	"github.com/uber-go/tally/v4"
-	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"radishpath.example/radishpath/settings"
 )
 
-const metricsInterval = time.Second
-
 // credentials are the TLS configurations of a process; nil means plain TCP.
 type credentials struct {
 	client *tls.Config
@@ -36,32 +28,6 @@
 	}, nil
 }
 
-// metrics is a tally scope with its Prometheus endpoint.
-type metrics struct {
-	scope   tally.Scope
-	handler http.Handler
-	closer  io.Closer
-}
-
-func newMetrics(prefix string) metrics {
-	reporter := tallyprom.NewReporter(tallyprom.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:          prefix,
-		CachedReporter:  reporter,
-		Separator:       tallyprom.DefaultSeparator,
-		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
-	}, metricsInterval)
-	return metrics{
-		scope:   scope,
-		handler: reporter.HTTPHandler(),
-		closer:  closer,
-	}
-}
-
-func (m metrics) close() {
-	_ = m.closer.Close()
-}
-
 // addresses returns the addresses of nodes.
 func addresses(nodes []settings.Node) []string {
 	all := make([]string, 0, len(nodes))
--- a/cmd/logging.go
+++ b/cmd/trace.go
@@ -4,24 +4,10 @@
 	"fmt"
 	"io"
 	"os"
-
-	"github.com/hashicorp/go-hclog"
-
-	"radishpath.example/radishpath/settings"
 )
 
 const traceMode = 0o600
 
-// newLogger returns the logger of a process.
-func (c *Config) newLogger(name string, from settings.LogSettings) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{
-		Name:       name,
-		Level:      hclog.LevelFromString(from.Level),
-		Output:     c.Stderr,
-		JSONFormat: from.Format == "json",
-	})
-}
-
 // openTrace opens the decision trace; it is discarded when no path is set.
 func openTrace(path string) (io.WriteCloser, error) {
 	if path == "" {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -98,7 +98,7 @@
 		if found.known && found.workspace != workspace {
 			return caller.Status{}, caller.ErrNotFound
 		}
-		if found.known && (found.end != nil || left <= lookupWait || ctx.Err() != nil || e.isLeaving()) {
+		if found.known && (found.end != nil || left <= lookupWait || isEnded(ctx) || e.isLeaving()) {
 			return callerStatus(id, found), nil
 		}
 		if !found.known {
@@ -107,6 +107,16 @@
 	}
 }
 
+// isEnded says whether nobody waits for the result any more.
+func isEnded(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // lookupOnce asks this entry first and the job's owner if it is another one.
 func (e *Entry) lookupOnce(ctx context.Context, id string, wait time.Duration) status {
 	found := e.localStatus(id)
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -48,6 +48,17 @@
 		other := (entry + 1) % len(s.cluster.Entries)
 		require.Equal(t, id, s.awaitEnd(other, "weddings", id, few).Answer)
 	}
+	long := s.submit(0, "banquets", callerclient.Submission{
+		ID:           "long",
+		Idempotent:   true,
+		Accelerators: 2,
+		Payload:      work(time.Minute, "never"),
+	}, 0)
+	require.Equal(t, "queued", long.State)
+	s.awaitState(1, "banquets", "long", "running", few)
+	_, err := s.caller(2, "banquets").Cancel(t.Context(), "long")
+	require.NoError(t, err)
+	require.Equal(t, "cancelled", s.awaitEnd(1, "banquets", "long", few).State)
 	events := s.harness.Events()
 	require.NoError(t, harness.NotRun(events, map[string]bool{
 		"never-0": true,
