--- a/entry/placer.go
+++ b/entry/placer.go
@@ -347,20 +347,29 @@
 
 // write records a decision.
 func (p *placer) write(decided placement.Decision, wait *placeWait) {
-	agents := make([]string, 0, len(decided.Members))
-	for _, member := range decided.Members {
-		agents = append(agents, member.Worker)
-	}
 	line := decision{
 		Kind:    string(decided.Kind),
 		Job:     decided.Job,
-		Agents:  agents,
 		Reasons: decided.Reasons,
 	}
+	if decided.Kind == placement.Place {
+		for _, member := range decided.Members {
+			line.Agents = append(line.Agents, member.Worker)
+		}
+	}
+	if placed, ok := p.placed[decided.Job]; ok {
+		line.Generation = placed.attempt.GetGeneration()
+		line.Count = placed.attempt.GetCount()
+		for _, member := range placed.members {
+			line.Agents = append(line.Agents, member.GetAgent())
+		}
+	}
 	if wait != nil {
-		line.Workspace = wait.request.GetJob().GetWorkspace()
 		line.Generation = wait.request.GetAttempt().GetGeneration()
 		line.Count = wait.request.GetAttempt().GetCount()
 	}
+	if state, ok := p.entry.jobs.state(decided.Job); ok {
+		line.Workspace = state.Job.GetWorkspace()
+	}
 	p.entry.trace.write(line)
 }
