--- a/agent/system_test.go
+++ b/agent/system_test.go
@@ -48,6 +48,8 @@
 	// announced answers heartbeats.
 	announced func(*peerpb.Announce) *peerpb.AnnounceReply
 	announces []*peerpb.Announce
+	// delay is the time that a call to an entry takes.
+	delay time.Duration
 	// reported answers reports.
 	reported func(string, *peerpb.Report) *peerpb.ReportReply
 	reports  []*peerpb.Report
@@ -94,7 +96,7 @@
 // Call delivers a request without a network. A call to or from a cut address gets no reply.
 func (s source) Call(ctx context.Context, address string, request *peerpb.Request) (*peerpb.Reply, error) {
 	s.mu.Lock()
-	a, cut := s.agents[address], s.cut[address] || s.cut[s.id]
+	a, cut, delay := s.agents[address], s.cut[address] || s.cut[s.id], s.delay
 	s.mu.Unlock()
 	if cut {
 		<-ctx.Done()
@@ -106,6 +108,7 @@
 	if address != entryAddress && address != ownerAddress {
 		return nil, peer.ErrNotSent
 	}
+	s.clock.Sleep(delay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if report := request.GetReport(); report != nil {
--- a/agent/tasks_test.go
+++ b/agent/tasks_test.go
@@ -155,6 +155,22 @@
 			},
 			reason: "",
 		},
+		{
+			name: "confirmations that get too old on their way",
+			before: func(s *system, _ *Agent, _ *fakeWorker, _ *fakeBackend) {
+				s.setAnnounced(func(*peerpb.Announce) *peerpb.AnnounceReply {
+					return confirmation(1, "in", 2200*time.Millisecond)
+				})
+				s.mu.Lock()
+				s.delay = 900 * time.Millisecond
+				s.mu.Unlock()
+				s.clock.Sleep(4 * time.Second)
+				for last := s.lastAnnounce(); last == s.lastAnnounce(); {
+					s.clock.Sleep(time.Millisecond)
+				}
+			},
+			reason: "the document was last confirmed",
+		},
 		{
 			name: "confirmations of a document that can't be read",
 			before: func(s *system, _ *Agent, _ *fakeWorker, _ *fakeBackend) {
@@ -359,6 +375,27 @@
 	}
 }
 
+// TestPartialReleaseEndsGang guards against members that run on when their owner is gone after it released only some,
+// and against members that end before their own checkpoint was due.
+func TestPartialReleaseEndsGang(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newSystem(t)
+		w0, w1 := newFakeWorker(s), newFakeWorker(s)
+		a0, stop0 := s.start("worker-0", w0, newFakeBackend(s))
+		defer stop0()
+		a1, stop1 := s.start("worker-1", w1, newFakeBackend(s))
+		defer stop1()
+		s.prepare(a0, a1)
+		require.True(t, s.startTask(a0, "job", 0).GetOk())
+		require.True(t, s.startTask(a1, "job", 1).GetOk())
+		a1.tasks.release(newKey("job", tryNumber(1), 1), true, 10*time.Second)
+		s.clock.Sleep(9 * time.Second)
+		require.Equal(t, StateRunning, w0.state("job.7.1.0"))
+		s.clock.Sleep(time.Second + 4500*time.Millisecond)
+		require.Equal(t, StateLapsed, w0.state("job.7.1.0"))
+	})
+}
+
 // TestRestartWithRunningTask guards against a restarted agent that renews what it can't watch, gives the accelerators
 // away while the task still runs, says that a running task was refused, or loses an answer.
 func TestRestartWithRunningTask(t *testing.T) {
