Report the agent's sizes and ages as metrics

Cause: operators could see the count of decisions and the answers' memory only. Change: gauges for requests, tasks, reservations, answers, the confirmation's age and the document's revision.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -45,6 +45,7 @@
 	reporter  *reporter
 	requests  *requests
 	tasks     *tasks
+	gauges    gauges
 }
 
 // New returns an Agent. Run starts it.
@@ -69,6 +70,7 @@
 		handled:  make(chan struct{}, maxHandled),
 		journal:  newJournal(config.Logger, config.Metrics, config.ID, config.Zone),
 	}
+	a.gauges = newGauges(config.Metrics)
 	a.gate = &gate{
 		zone:      config.Zone,
 		clock:     config.Clock,
@@ -161,7 +163,6 @@
 		logger:    a.config.Logger,
 		group:     a.group,
 		entries:   map[string]*entryLink{},
-		used:      a.config.Metrics.Gauge("answers_bytes"),
 	}
 }
 
@@ -236,6 +237,7 @@
 	a.group.run(func(ctx context.Context) { every(ctx, clock, describeInterval, a.worker.read) })
 	a.group.run(func(ctx context.Context) { every(ctx, clock, pollInterval, a.pollBackend) })
 	a.group.run(func(ctx context.Context) { every(ctx, clock, pollInterval, a.pollWorker) })
+	a.group.run(func(ctx context.Context) { every(ctx, clock, time.Second, a.updateGauges) })
 	a.group.run(a.cleaner.run)
 	a.group.run(a.reporter.run)
 	a.announcer.start()
--- a/agent/announcer.go
+++ b/agent/announcer.go
@@ -8,7 +8,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
-	"github.com/uber-go/tally/v4"
 
 	"radishpath.example/radishpath/peer/peerpb"
 )
@@ -41,8 +40,6 @@
 	entries   map[string]*entryLink
 	// ended counts the changes to the set of unacknowledged results.
 	ended uint64
-	// used is the memory of the unacknowledged answers.
-	used tally.Gauge
 }
 
 // entryLink is what is known of one entry.
@@ -192,7 +189,6 @@
 	now := a.config.Clock.Now()
 	change, term := a.holds.version(now)
 	all, large := a.slots.outstanding()
-	a.used.Update(float64(a.answers.size()))
 	info, version := a.worker.get()
 	a.mu.Lock()
 	change += a.ended + version
--- a/agent/freshness.go
+++ b/agent/freshness.go
@@ -16,6 +16,16 @@
 	confirmed time.Time
 }
 
+// age returns the time since the latest confirmation, or zero if there was none.
+func (f *freshness) age(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.confirmed.IsZero() {
+		return 0
+	}
+	return now.Sub(f.confirmed)
+}
+
 // check refuses when the latest confirmation is too old.
 func (f *freshness) check(now time.Time) error {
 	f.mu.Lock()
--- a/agent/holds.go
+++ b/agent/holds.go
@@ -96,6 +96,14 @@
 	return nil
 }
 
+// count returns the number of holds, commitments and started tasks.
+func (h *holds) count(now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expire(now)
+	return len(h.all)
+}
+
 // finish frees what a started task occupied.
 func (h *holds) finish(k key) {
 	h.mu.Lock()
