Measure leaf members of the watch too

Cause: only inner members were measured. Change: the benchmark runs for an inner member and for a leaf.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -181,9 +181,15 @@
 	require.NoError(b, <-done)
 }
 
-// BenchmarkWatch measures an inner member of a gang with all its children and a parent: at most 3 KB/s and 3.8% of a
-// core.
+// BenchmarkWatch measures an inner member of a gang with all its children and a parent, and a leaf: at most 3 KB/s and
+// 3.8% of a core.
 func BenchmarkWatch(b *testing.B) {
+	b.Run("inner", func(b *testing.B) { benchmarkWatch(b, 1) })
+	b.Run("leaf", func(b *testing.B) { benchmarkWatch(b, 2*gang.DefaultFanout) })
+}
+
+func benchmarkWatch(b *testing.B, measured int) {
+	b.Helper()
 	const members, inner = 2*gang.DefaultFanout + 1, 1
 	clock := clockwork.NewRealClock()
 	counted := &traffic{}
@@ -199,7 +205,7 @@
 		}
 		var dial peer.DialFunc
 		listener := listen(b)
-		if index == inner {
+		if index == measured {
 			dial = counted.dial
 			listener = countedListener{
 				Listener: listener,
