Order classes with a heap; skip units that cannot hold a job

Cause: with about 800 different shapes queued a decision over 128 workers took 10.3 ms: every pick scanned all classes, and units were tried that are too small for the job. Change: classes that may fit are in a heap per workspace; units are skipped when they cannot hold the job or when too little of them is unused; keys are compared without building a chain. Measured, 128 workers, before -> after: one shape 397 -> 272 us, 800 shapes 10.3 -> 1.2 ms. 1,500 workers, one shape 4.7 -> 3.0 ms.

--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// filled returns a cell of workers with three in four accelerators in use and the given number of queued jobs of 40
-// shapes that do not fit.
-func filled(b *testing.B, workers, waiting int) (*Scheduler, time.Time) {
+// filled returns a cell of workers with three in four accelerators in use and queued jobs that do not fit, of one shape
+// in 40 classes or, when mixed, of about 800 shapes.
+func filled(b *testing.B, workers, waiting int, mixed bool) (*Scheduler, time.Time) {
 	b.Helper()
 	s := newCellOf(workers, Policy{
 		Workspaces: []Workspace{
@@ -27,6 +27,9 @@
 	for i := range waiting {
 		j := jobOf(fmt.Sprintf("wait%d", i), names[i%4], 3, 8, ScopeRack)
 		j.Kind = fmt.Sprintf("kind%d", i%10)
+		if mixed {
+			j.Members, j.Accelerators, j.Cores = 1+i%3, 5+i%4, 1+i%17
+		}
 		submit(b, s, now, j)
 	}
 	s.Decide(now)
@@ -42,9 +45,18 @@
 
 // BenchmarkDecide measures one end and one placement of a job of two accelerators with 1,000 jobs queued.
 func BenchmarkDecide(b *testing.B) {
-	for _, workers := range []int{11, 128, 1500} {
-		b.Run(fmt.Sprintf("%d_workers", workers), func(b *testing.B) {
-			s, now := filled(b, workers, 1000)
+	for _, size := range []struct {
+		workers int
+		mixed   bool
+	}{
+		{workers: 11},
+		{workers: 128},
+		{workers: 1500},
+		{workers: 11, mixed: true},
+		{workers: 128, mixed: true},
+	} {
+		b.Run(fmt.Sprintf("%d_workers_mixed=%t", size.workers, size.mixed), func(b *testing.B) {
+			s, now := filled(b, size.workers, 1000, size.mixed)
 			b.ReportAllocs()
 			last := "run0"
 			for i := 0; b.Loop(); i++ {
@@ -86,7 +98,7 @@
 func BenchmarkCancel(b *testing.B) {
 	for _, waiting := range []int{1000, 100000} {
 		b.Run(fmt.Sprintf("%d_queued", waiting), func(b *testing.B) {
-			s, now := filled(b, 11, waiting)
+			s, now := filled(b, 11, waiting, false)
 			for i := 0; b.Loop(); i++ {
 				j := jobOf(fmt.Sprintf("c%d", i), "garden", 3, 8, ScopeRack)
 				submit(b, s, now, j)
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"slices"
 	"time"
 )
 
@@ -114,10 +113,10 @@
 	var best *class
 	least := 0.0
 	for _, sp := range s.order {
-		c := sp.first(s.version)
-		if c == nil {
+		if len(sp.ready) == 0 {
 			continue
 		}
+		c := sp.ready[0]
 		e := c.head()
 		rank := sp.rank(e, fair[sp], now.Sub(e.job.Accepted), s.config.Age)
 		if best == nil || rank < least || rank == least && before(e, best.head()) {
@@ -145,31 +144,38 @@
 	fair := make(map[*space]float64, len(s.order))
 	for _, sp := range s.order {
 		fair[sp] = s.fair(sp)
+		sp.prepare(s.version)
 	}
 	for {
 		c := s.next(now, fair)
 		if c == nil {
 			break
 		}
-		e := c.head()
-		if e.space.hopeless(e, s.version) {
-			c.refused = s.version
-			continue
-		}
-		if s.try(now, e) {
-			continue
-		}
-		e.space.refuse(e, s.version)
-		s.considerReserving(now, e)
+		s.serveHead(now, c)
+		c.space.advance(s.version)
 	}
 	s.reserveOldest(now)
 }
 
+// serveHead places the first job of a class or marks the class as refused.
+func (s *Scheduler) serveHead(now time.Time, c *class) {
+	e := c.head()
+	if c.space.hopeless(e, s.version) {
+		c.refused = s.version
+		return
+	}
+	if s.try(now, e) {
+		return
+	}
+	c.space.refuse(e, s.version)
+	s.considerReserving(now, e)
+}
+
 // serveUrgent places urgent jobs of workspaces within their share before everything else.
 func (s *Scheduler) serveUrgent(now time.Time) {
 	for _, sp := range s.order {
-		for _, c := range slices.Clone(sp.order) {
-			for c.shape.urgent && c.refused != s.version && len(c.jobs) > 0 && s.withinShare(c.head()) {
+		for _, c := range sp.urgent() {
+			for c.refused != s.version && len(c.jobs) > 0 && s.withinShare(c.head()) {
 				if !s.try(now, c.head()) {
 					c.refused = s.version
 				}
@@ -188,6 +194,17 @@
 	}
 }
 
+// urgent lists the classes of urgent jobs.
+func (sp *space) urgent() []*class {
+	var out []*class
+	for _, c := range sp.order {
+		if c.shape.urgent {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // wake spreads the workers of a returning zone over the ramp and brings back those whose time has come.
 func (s *Scheduler) wake(now time.Time) {
 	for _, z := range s.cell.zones {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"container/heap"
 	"slices"
 	"time"
@@ -68,8 +67,10 @@
 	// usage counts accelerators of running jobs and claims.
 	usage int
 	// refusals are what did not fit at the version in refusedAt.
-	refusals  []refusal
+	refusals  map[shapeKey][]refusal
 	refusedAt uint64
+	// ready holds the classes that may fit, while Decide serves the queue.
+	ready classHeap
 	// listed is false for a workspace that has jobs but is not in the policy.
 	listed bool
 }
@@ -78,29 +79,33 @@
 	return &space{
 		Workspace: w,
 		classes:   map[shapeKey]*class{},
+		refusals:  map[shapeKey][]refusal{},
 	}
 }
 
-// refusal is a shape that did not fit, with the run time for which it was tried as backfill.
+// refusal is the rest of a shape that did not fit, with the run time for which it was tried as backfill.
 type refusal struct {
-	shape     shapeKey
+	cores     int
+	memory    int64
 	remaining time.Duration
 }
 
+// refusalKey is the part of a shape in which two jobs have to be equal to be compared.
+func (c *class) refusalKey() shapeKey {
+	key := c.shape
+	key.kind, key.alone = "", ""
+	key.cores, key.memory = 0, 0
+	return key
+}
+
 // hopeless reports whether a job that is no easier to place was refused at this version: same shape, no more cores and
 // memory, no longer run time.
 func (s *space) hopeless(e *entry, version uint64) bool {
 	if s.refusedAt != version {
 		return false
 	}
-	key := e.shapeKey()
-	key.kind, key.alone = "", ""
-	return slices.ContainsFunc(s.refusals, func(r refusal) bool {
-		if r.shape.cores > key.cores || r.shape.memory > key.memory || r.remaining > e.remaining() {
-			return false
-		}
-		r.shape.cores, r.shape.memory = key.cores, key.memory
-		return r.shape == key
+	return slices.ContainsFunc(s.refusals[e.class.refusalKey()], func(r refusal) bool {
+		return r.cores <= e.job.Cores && r.memory <= e.job.Memory && r.remaining <= e.remaining()
 	})
 }
 
@@ -109,15 +114,15 @@
 	e.class.refused = version
 	if s.refusedAt != version {
 		s.refusedAt = version
-		s.refusals = s.refusals[:0]
+		clear(s.refusals)
 	}
-	key := e.shapeKey()
-	if key.alone != "" {
+	if e.class.shape.alone != "" {
 		return
 	}
-	key.kind = ""
-	s.refusals = append(s.refusals, refusal{
-		shape:     key,
+	key := e.class.refusalKey()
+	s.refusals[key] = append(s.refusals[key], refusal{
+		cores:     e.job.Cores,
+		memory:    e.job.Memory,
 		remaining: e.remaining(),
 	})
 }
@@ -153,18 +158,25 @@
 	}
 }
 
-// first returns the class with the earliest key among those that may fit at this version.
-func (s *space) first(version uint64) *class {
-	var best *class
+// prepare lists the classes that may fit at this version, for next.
+func (s *space) prepare(version uint64) {
+	s.ready = s.ready[:0]
 	for _, c := range s.order {
-		if c.refused == version {
-			continue
-		}
-		if best == nil || before(c.head(), best.head()) {
-			best = c
+		if c.refused != version {
+			s.ready = append(s.ready, c)
 		}
 	}
-	return best
+	heap.Init(&s.ready)
+}
+
+// advance takes the first ready class out if it was refused or is empty, and otherwise moves it to its new position.
+func (s *space) advance(version uint64) {
+	c := s.ready[0]
+	if c.refused == version || len(c.jobs) == 0 {
+		heap.Pop(&s.ready)
+		return
+	}
+	heap.Fix(&s.ready, 0)
 }
 
 // rank is the part of its share that the workspace would use with one more job, less a bonus for waiting. The bonus is
@@ -179,7 +191,34 @@
 
 // before orders entries by key and then by id.
 func before(a, b *entry) bool {
-	return cmp.Or(a.key.Compare(b.key), cmp.Compare(a.job.ID, b.job.ID)) < 0
+	if order := a.key.Compare(b.key); order != 0 {
+		return order < 0
+	}
+	return a.job.ID < b.job.ID
+}
+
+// classHeap orders classes by their first jobs. A class that has just been emptied counts as first, so that advance
+// finds it.
+type classHeap []*class
+
+func (h classHeap) Len() int { return len(h) }
+func (h classHeap) Less(i, k int) bool {
+	if len(h[i].jobs) == 0 || len(h[k].jobs) == 0 {
+		return len(h[i].jobs) < len(h[k].jobs)
+	}
+	return before(h[i].head(), h[k].head())
+}
+func (h classHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+
+// Push implements heap.Interface.
+func (h *classHeap) Push(x any) { *h = append(*h, x.(*class)) }
+
+// Pop implements heap.Interface.
+func (h *classHeap) Pop() any {
+	last := len(*h) - 1
+	c := (*h)[last]
+	*h = (*h)[:last]
+	return c
 }
 
 // entryHeap implements heap.Interface.
--- a/placement/try.go
+++ b/placement/try.go
@@ -62,12 +62,18 @@
 // shape or else the smallest that hold it. It may not break a larger shape while a smaller one is unused. A job that no
 // unit holds may use several together.
 func (sp *space) candidates(j Job) [][]*unit {
+	if sp.unused() < j.size() {
+		return nil
+	}
 	var out [][]*unit
 	var together []*unit
 	for _, u := range sp.units {
-		if u.placed() && u.jobs > 0 {
+		if !u.placed() || u.jobs == 0 {
+			continue
+		}
+		together = append(together, u)
+		if u.holds(j) {
 			out = append(out, []*unit{u})
-			together = append(together, u)
 		}
 	}
 	floating := sp.floating(j)
@@ -77,7 +83,21 @@
 	if len(floating) == 0 && !slices.ContainsFunc(sp.units, func(u *unit) bool { return u.holds(j) }) {
 		return append(out, sp.units)
 	}
-	return append(out, append(together, floating...))
+	if together = append(together, floating...); len(together) > 1 {
+		out = append(out, together)
+	}
+	return out
+}
+
+// unused counts the accelerators of the workspace's units that no job is charged for.
+func (sp *space) unused() int {
+	total := 0
+	for _, u := range sp.units {
+		for _, c := range u.cells {
+			total += popcount(c.mask &^ c.node.used)
+		}
+	}
+	return total
 }
 
 // floating returns the unused units of the job's own shape, or else the smallest ones that hold it.
