--- a/journal/follower_test.go
+++ b/journal/follower_test.go
@@ -226,6 +226,9 @@
 		for j := range submissions {
 			id := fmt.Sprint("job", j)
 			limit := time.Duration(1+(j*7)%50) * 10 * time.Millisecond
+			if j == 0 {
+				limit = time.Minute
+			}
 			go func() {
 				result, err := p.writer.Submit(submitContext(t, limit), accept(id), claim(fmt.Sprint(i, id)))
 				reports <- report{id: fmt.Sprint(i, id), result: result, err: err}
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -236,13 +236,22 @@
 		t.Run(test.name, func(t *testing.T) {
 			log := newFakeLog()
 			log.appends = test.fault
-			p := startProcess(t, log, clockwork.NewRealClock(), "e1", 0)
-			_, err := p.writer.Submit(submitContext(t, 200*time.Millisecond), accept("a"))
-			require.ErrorIs(t, err, test.want)
-			require.ErrorIs(t, err, context.DeadlineExceeded)
+			clock := clockwork.NewFakeClock()
+			p := startProcess(t, log, clock, "e1", 0)
+			ctx, cancel := context.WithCancel(t.Context())
+			ends := make(chan error, 1)
+			submit := func(submitCtx context.Context, record *peerpb.Record) {
+				_, err := p.writer.Submit(submitCtx, record)
+				ends <- err
+			}
+			go submit(ctx, accept("a"))
+			advance(t, clock, func() bool { return p.writer.Status().Err != nil })
+			cancel()
+			require.ErrorIs(t, <-ends, test.want)
 			log.fault(nil)
-			_, err = p.writer.Submit(submitContext(t, time.Minute), claim("e1"))
-			require.NoError(t, err)
+			go submit(t.Context(), claim("e1"))
+			advance(t, clock, func() bool { return len(ends) == 1 })
+			require.NoError(t, <-ends)
 			require.Len(t, p.jobs.Live(""), test.live)
 		})
 	}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -169,11 +169,11 @@
 func (w *Writer) attempt(ctx context.Context, b *batch) bool {
 	limited, cancel := withTimeout(ctx, w.config.Clock, appendTimeout)
 	defer cancel()
-	w.noteAppend(true, nil)
+	w.noteBegin()
 	offset, err := w.config.Append(limited, b.data)
-	w.noteAppend(false, err)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.noteEnd(err)
 	if err == nil {
 		b.offset = offset
 	}
@@ -307,22 +307,22 @@
 	return nil
 }
 
-// noteAppend keeps the status of an append that begins or ends.
-func (w *Writer) noteAppend(begins bool, err error) {
+// noteBegin keeps the status of an append that begins.
+func (w *Writer) noteBegin() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.config.Clock.Now()
-	if begins {
-		w.status.Appending = now
-		return
-	}
+	w.status.Appending = w.config.Clock.Now()
+}
+
+// noteEnd keeps the status of an append that ended; the caller holds the lock.
+func (w *Writer) noteEnd(err error) {
 	w.status.Appending = time.Time{}
 	w.status.Err = err
 	switch {
 	case err == nil:
 		w.status.Failing = time.Time{}
 	case w.status.Failing.IsZero():
-		w.status.Failing = now
+		w.status.Failing = w.config.Clock.Now()
 	}
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -75,11 +75,7 @@
 }
 
 func batch(writer string, sequence uint64, records ...*peerpb.Record) *peerpb.Batch {
-	return &peerpb.Batch{
-		Writer:   writer,
-		Sequence: sequence,
-		Records:  records,
-	}
+	return &peerpb.Batch{Writer: writer, Sequence: sequence, Records: records}
 }
 
 // TestApplyRaces guards against a job that runs twice, ends twice or is called never started although it ran, when
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -37,12 +37,7 @@
 }
 
 func newHistory(t *rapid.T) *history {
-	return &history{
-		t:       t,
-		full:    New(),
-		next:    map[string]uint64{},
-		carries: map[string][]*peerpb.Record{},
-	}
+	return &history{t: t, full: New(), next: map[string]uint64{}, carries: map[string][]*peerpb.Record{}}
 }
 
 func (h *history) append(b *peerpb.Batch) {
