Serve idempotent requests elsewhere when their agent is silent; keep new work from agents that refuse a hold

Cause: an idempotent request waited up to 10 s for an agent that was killed or paused, and a reservation that was refused was tried again with the same attempt, which agents refuse from then on. Found by reading. Change: a broken or silent call of an idempotent request is tried elsewhere; every try to place a gang has its own attempt; an agent that refused or missed a hold gets no new work until it announces itself; waiting callers are woken for their own job only.

--- a/entry/finish.go
+++ b/entry/finish.go
@@ -28,7 +28,7 @@
 		e.logger.Warn("record end", "job", job.GetId(), "error", err)
 		if !shared && !end.GetNeverStarted() && e.shareEnd(ctx, job, end) {
 			shared = true
-			e.jobs.changes.notify()
+			e.jobs.changes.notify(job.GetId())
 		}
 		e.pause(ctx, endRetry)
 	}
@@ -65,7 +65,7 @@
 	if !e.shareEnd(ctx, job, end) {
 		e.logger.Warn("no other entry took the end", "job", job.GetId())
 	}
-	e.jobs.changes.notify()
+	e.jobs.changes.notify(job.GetId())
 }
 
 // recordEnd writes the end to the decision trace and the metrics.
--- a/entry/gangs.go
+++ b/entry/gangs.go
@@ -82,6 +82,7 @@
 
 // reserve asks the placer for a place. It also ends a job that can never run.
 func (r *runner) reserve(ctx context.Context) (*gangRun, bool) {
+	asked := r.entry.config.Clock.Now()
 	reply, err := r.entry.place(ctx, &peerpb.Place{
 		Job: r.job,
 		Attempt: &peerpb.Attempt{
@@ -102,7 +103,12 @@
 		r.refuse(ctx, peerpb.Outcome_OUTCOME_REFUSED, reply.GetReasons()...)
 		return nil, false
 	case reply.GetReservation() == nil:
+		// Members that refused a hold refuse this attempt from now on.
+		r.count++
 		r.setState(stateQueued, reply.GetReasons()...)
+		if r.entry.config.Clock.Since(asked) < placePoll {
+			r.sleep(ctx)
+		}
 		return nil, false
 	}
 	r.count = reply.GetReservation().GetAttempt().GetCount()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -33,7 +33,7 @@
 	writer   *journal.Writer
 	follower *journal.Follower
 	// changes wakes those who wait for a job's state.
-	changes *signal
+	changes *watches
 
 	mu sync.Mutex
 	// live holds the ids of the jobs that have not ended, by workspace.
@@ -46,7 +46,7 @@
 		clock:   config.Clock,
 		log:     config.Log,
 		ledger:  ledger.New(),
-		changes: newSignal(),
+		changes: newWatches(),
 		live:    map[string]map[string]bool{},
 	}
 	j.writer = journal.NewWriter(journal.WriterConfig{
@@ -68,9 +68,9 @@
 			for _, change := range changes {
 				j.count(change)
 				observe(offset, change)
+				j.changes.notify(change.Job)
 			}
 			j.writer.Observe(offset, batch, changes)
-			j.changes.notify()
 		},
 		Truncate: j.writer.Truncate,
 	})
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -50,6 +50,9 @@
 	workers   map[string]placement.Worker
 	waits     map[string]*placeWait
 	placed    map[string]*placedJob
+	// suspects are the agents that refused or missed a hold, with the time; they get no new work until they announce
+	// themselves again.
+	suspects map[string]time.Time
 }
 
 func newPlacer(e *Entry) *placer {
@@ -297,7 +300,11 @@
 				},
 			},
 		})
-		return judge(verdict, err)
+		ok, refusal := judge(verdict, err)
+		if !ok {
+			p.suspect(at.GetAgent())
+		}
+		return ok, refusal
 	})
 	reply := &peerpb.PlaceReply{
 		Reservation: reservation,
@@ -345,6 +352,15 @@
 	}
 }
 
+// suspect keeps new work away from an agent until it announces itself again.
+func (p *placer) suspect(agent string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.scheduler != nil {
+		p.suspects[agent] = p.entry.config.Clock.Now()
+	}
+}
+
 // write records a decision.
 func (p *placer) write(decided placement.Decision, wait *placeWait) {
 	line := decision{
--- a/entry/placersync.go
+++ b/entry/placersync.go
@@ -26,6 +26,7 @@
 	p.workers = map[string]placement.Worker{}
 	p.waits = map[string]*placeWait{}
 	p.placed = map[string]*placedJob{}
+	p.suspects = map[string]time.Time{}
 	return true
 }
 
@@ -61,7 +62,13 @@
 		if view.worker == nil || now.Sub(view.heard) > agentSilence {
 			continue
 		}
-		current[view.id] = placementWorker(view)
+		worker := placementWorker(view)
+		if since, ok := p.suspects[view.id]; ok && !view.heard.After(since) {
+			worker.Leaving = true
+		} else {
+			delete(p.suspects, view.id)
+		}
+		current[view.id] = worker
 	}
 	for id := range p.workers {
 		if _, ok := current[id]; !ok {
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -14,6 +14,9 @@
 const (
 	// serveTimeout bounds one call; a request that takes longer is asked for with Query.
 	serveTimeout = 10 * time.Second
+	// stalledAfter is three announcements; a backend server that is only slow has an agent that goes on announcing.
+	stalledAfter = 1500 * time.Millisecond
+	stalledPoll  = 100 * time.Millisecond
 	queryTimeout = time.Second
 	queryRetry   = 200 * time.Millisecond
 	callTimeout  = time.Second
@@ -90,6 +93,11 @@
 func (r *runner) serve(ctx context.Context, target agentView) served {
 	call, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
+	if r.job.GetIdempotent() {
+		watched := r.abandonSilent(call, cancel, target.id)
+		defer func() { <-watched }()
+		defer cancel()
+	}
 	reply, err := r.entry.config.Pool.Call(call, target.address, &peerpb.Request{
 		Kind: &peerpb.Request_Serve{
 			Serve: &peerpb.Serve{
@@ -105,12 +113,36 @@
 			reason:  err.Error(),
 		}
 	}
+	if err != nil && r.job.GetIdempotent() {
+		return served{
+			lost:   true,
+			reason: err.Error(),
+		}
+	}
 	if err != nil {
 		return r.query(ctx, target, r.attempt())
 	}
 	return r.readServed(target.id, reply.GetServe())
 }
 
+// abandonSilent ends a call when its agent is silent for stalledAfter, so that an idempotent request is served
+// elsewhere instead of waiting for an instance that is paused or cut off. The returned channel is closed when it has
+// stopped.
+func (r *runner) abandonSilent(ctx context.Context, cancel context.CancelFunc, agent string) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for r.entry.pause(ctx, stalledPoll) {
+			view, ok := r.entry.fleet.get(agent)
+			if !ok || r.entry.config.Clock.Since(view.heard) > stalledAfter {
+				cancel()
+				return
+			}
+		}
+	}()
+	return done
+}
+
 // readServed checks the answer's checksum, length and attempt.
 func (r *runner) readServed(agent string, reply *peerpb.ServeReply) served {
 	if reply.GetRefused() {
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -178,7 +178,7 @@
 	r.state = state
 	r.reasons = reasons
 	r.mu.Unlock()
-	r.entry.jobs.changes.notify()
+	r.entry.jobs.changes.notify(r.job.GetId())
 }
 
 // shown returns the state that callers see.
--- a/entry/status.go
+++ b/entry/status.go
@@ -100,15 +100,18 @@
 func (e *Entry) awaitStatus(ctx context.Context, id string, wait time.Duration) status {
 	timeout := e.config.Clock.After(wait)
 	for {
-		changed := e.jobs.changes.changed()
+		changed, done := e.jobs.changes.add(id)
 		found := e.localStatus(id)
 		if found.end != nil || wait <= 0 {
+			done()
 			return found
 		}
 		select {
 		case <-ctx.Done():
+			done()
 			return found
 		case <-timeout:
+			done()
 			return found
 		case <-changed:
 		}
