Test that fresh void ids are not forgotten

Cause: a trial in which Expire ignored the offset for void ids passed all tests; a late accept of a void id would then take effect. Change: TestExpire has a void id above the offset.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -278,9 +278,10 @@
 	jobs := New()
 	jobs.Apply(0, batch("e1", 1, accept("live", "e1", true), accept("old", "e1", true), accept("new", "e1", true)))
 	jobs.Apply(1, batch("e1", 2, done("old", 0, "x"), void("void"), cancel("never")))
-	jobs.Apply(2, batch("e1", 3, done("new", 0, "x")))
+	jobs.Apply(2, batch("e1", 3, done("new", 0, "x"), void("fresh")))
 	jobs.Expire(2)
-	for id, want := range map[string]bool{"live": true, "old": false, "new": true, "void": false, "never": false} {
+	remembered := map[string]bool{"live": true, "old": false, "new": true, "void": false, "fresh": true, "never": false}
+	for id, want := range remembered {
 		_, ok := jobs.Job(id)
 		require.Equal(t, want, ok, id)
 	}
