--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -50,11 +50,7 @@
 
 func done(id string, generation int64, body string) *peerpb.Record {
 	record := end(id, generation, peerpb.Outcome_OUTCOME_DONE, false)
-	record.GetEnd().Answer = &peerpb.Answer{
-		Job:    id,
-		Length: int64(len(body)),
-		Body:   []byte(body),
-	}
+	record.GetEnd().Answer = &peerpb.Answer{Job: id, Length: int64(len(body)), Body: []byte(body)}
 	return record
 }
 
