Compare recorded decisions with replayed ones; bound the kinds remembered

Cause: a trace could state outcomes but not the decisions themselves, and callers choose kinds' names, so the estimates grew without bound. Change: decisions are events of a trace, WithDecisions records them and Difference names the first one that differs. Estimates keep the 4096 kinds used last. Conclusion: a recorded run can be checked decision by decision.

--- a/placement/decision.go
+++ b/placement/decision.go
@@ -26,7 +26,7 @@
 	// Borrowed marks work outside its workspace's guarantee, which may be evicted.
 	Borrowed   bool
 	Checkpoint bool
-	// Limit is the time until an evicted job must have stopped.
+	// Limit is the time until an evicted job must have stopped; zero means at once.
 	Limit   time.Duration
 	Reasons []string
 }
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 const (
@@ -17,6 +19,8 @@
 	// cautious is the number of standard deviations above the mean in the cautious estimate; about 9 of 10 jobs end
 	// before it.
 	cautious = 1.3
+	// maxKinds bounds the kinds remembered, because callers choose their names.
+	maxKinds = 4096
 	// defaultRun is assumed of jobs without a declared run time.
 	defaultRun = time.Minute
 )
@@ -46,12 +50,13 @@
 
 // estimates learns run times per workspace and kind.
 type estimates struct {
-	kinds map[kindKey]*history
+	kinds *simplelru.LRU[kindKey, *history]
 }
 
 func newEstimates() *estimates {
+	kinds, _ := simplelru.NewLRU[kindKey, *history](maxKinds, nil)
 	return &estimates{
-		kinds: map[kindKey]*history{},
+		kinds: kinds,
 	}
 }
 
@@ -61,10 +66,10 @@
 		workspace: j.Workspace,
 		kind:      j.Kind,
 	}
-	h, ok := m.kinds[key]
+	h, ok := m.kinds.Get(key)
 	if !ok {
 		h = &history{}
-		m.kinds[key] = h
+		m.kinds.Add(key, h)
 	}
 	h.add(run.Seconds())
 }
@@ -77,10 +82,10 @@
 		declared = defaultRun
 	}
 	mean, variance := math.Log(declared.Seconds()), declaredSpread*declaredSpread
-	h, ok := m.kinds[kindKey{
+	h, ok := m.kinds.Get(kindKey{
 		workspace: j.Workspace,
 		kind:      j.Kind,
-	}]
+	})
 	if ok {
 		learned := (h.variance*h.count + priorSpread*priorSpread*priorRuns) / (h.count + priorRuns)
 		weight := variance / (variance + learned)
--- a/replay/doc.go
+++ b/replay/doc.go
@@ -7,6 +7,7 @@
 //	events, err := replay.Read(file)
 //	outcome := replay.Run(events, replay.NewScheduler())
 //	measures := replay.Measure(events, outcome)
+//	difference := replay.Difference(events, outcome)
 //
 // A trace is a file of JSON lines with one-word keys, one Event each. FIFO and Shortest are the baselines.
 package replay
--- a/replay/event.go
+++ b/replay/event.go
@@ -20,16 +20,19 @@
 	// Break makes a worker fail everything, Repair ends that.
 	Break  = "break"
 	Repair = "repair"
+	// Decided is a recorded decision. A replay makes its own and compares.
+	Decided = "decision"
 )
 
 // Event is one line of a trace. At and Run are in milliseconds since the start.
 type Event struct {
-	At     int64             `json:"at"`
-	Event  string            `json:"event"`
-	ID     string            `json:"id,omitempty"`
-	Worker *placement.Worker `json:"worker,omitempty"`
-	Policy *placement.Policy `json:"policy,omitempty"`
-	Job    *Job              `json:"job,omitempty"`
+	At       int64               `json:"at"`
+	Event    string              `json:"event"`
+	ID       string              `json:"id,omitempty"`
+	Worker   *placement.Worker   `json:"worker,omitempty"`
+	Policy   *placement.Policy   `json:"policy,omitempty"`
+	Job      *Job                `json:"job,omitempty"`
+	Decision *placement.Decision `json:"decision,omitempty"`
 }
 
 // Job is a submitted job with its real run time. Want is the outcome that is stated for it, empty for done.
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -104,6 +104,26 @@
 	}
 }
 
+// TestDifference guards against a comparison that overlooks a changed, a missing or an additional decision.
+func TestDifference(t *testing.T) {
+	events := Generate(Fiji())
+	outcome := Run(events, NewScheduler())
+	var file bytes.Buffer
+	require.NoError(t, Write(&file, WithDecisions(events, outcome)))
+	recorded, err := Read(&file)
+	require.NoError(t, err)
+	replayed := Run(recorded, NewScheduler())
+	require.Empty(t, Difference(recorded, replayed))
+	missing := *replayed
+	missing.Decided = missing.Decided[:len(missing.Decided)-1]
+	require.Contains(t, Difference(recorded, &missing), "replayed none")
+	require.Contains(t, Difference(events, replayed), "recorded none")
+	changed := *replayed.Decided[7].Decision
+	changed.Members = nil
+	replayed.Decided[7].Decision = &changed
+	require.Contains(t, Difference(recorded, replayed), "decision 8")
+}
+
 // TestReadNamesTheLine guards against a damaged trace whose fault cannot be found.
 func TestReadNamesTheLine(t *testing.T) {
 	_, err := Read(bytes.NewBufferString("{\"at\":0,\"event\":\"repair\"}\n{\"at\":\n"))
--- a/replay/run.go
+++ b/replay/run.go
@@ -60,6 +60,8 @@
 type Outcome struct {
 	Records []*Record
 	Samples []Sample
+	// Decided lists the decisions as events, in order.
+	Decided []Event
 	// Decisions counts calls of Decide.
 	Decisions int
 	byID      map[string]*Record
@@ -207,6 +209,11 @@
 
 // carry does what a decision asks for.
 func (r *runner) carry(now time.Duration, d placement.Decision) {
+	r.out.Decided = append(r.out.Decided, Event{
+		At:       now.Milliseconds(),
+		Event:    Decided,
+		Decision: &d,
+	})
 	record := r.out.byID[d.Job]
 	switch d.Kind {
 	case placement.Place:
