Do not learn dropped entries from peers again

Cause: every entry passes on all entries it knows. An entry that dropped a replaced instance learned it again from a peer that had not dropped it yet, and that peer from this one, without end. The placeholder ids of the settings and every replaced instance stayed known: publish named them as missing, and the majority counted them.

--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -88,7 +88,7 @@
 	beat := reply.GetHeartbeat().GetBeat()
 	if beat.GetSender().GetId() != known.info.GetId() {
 		// Another instance listens on the address of one that was replaced.
-		e.members.replace(known.info.GetId(), beat.GetSender())
+		e.members.replace(known.info.GetId(), beat.GetSender(), e.config.Clock.Now())
 		return
 	}
 	e.absorb(beat, asked)
--- a/entry/members.go
+++ b/entry/members.go
@@ -37,6 +37,9 @@
 	self    string
 	started time.Time
 	known   map[string]*member
+	// gone holds when an instance was dropped. Peers that have not dropped it yet still name it; without this record
+	// the entries would pass it around without end, and publishing and the majority would wait for it.
+	gone map[string]time.Time
 }
 
 func newMembers(self string, started time.Time, seeds []*peerpb.EntryInfo) *members {
@@ -44,6 +47,7 @@
 		self:    self,
 		started: started,
 		known:   map[string]*member{},
+		gone:    map[string]time.Time{},
 	}
 	for _, seed := range seeds {
 		m.learn(seed)
@@ -77,13 +81,16 @@
 	return now.Sub(heard) <= limit
 }
 
-// learn adds an entry or its new address.
+// learn adds an entry or its new address, unless the entry was dropped and not heard since.
 func (m *members) learn(info *peerpb.EntryInfo) {
 	if info.GetId() == "" || info.GetId() == m.self || info.GetAddress() == "" {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if _, gone := m.gone[info.GetId()]; gone {
+		return
+	}
 	known, ok := m.known[info.GetId()]
 	if !ok {
 		known = &member{}
@@ -108,6 +115,9 @@
 
 // observe records a message. asked is zero unless the message answers a call of this process.
 func (m *members) observe(beat *peerpb.Heartbeat, asked, now time.Time) {
+	m.mu.Lock()
+	delete(m.gone, beat.GetSender().GetId())
+	m.mu.Unlock()
 	m.learn(beat.GetSender())
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -143,14 +153,21 @@
 		age := now.Sub(heard)
 		if (known.leaving && age > ownerSilence) || (silent && age > pruneSilence) {
 			delete(m.known, id)
+			m.gone[id] = now
+		}
+	}
+	for id, dropped := range m.gone {
+		if now.Sub(dropped) > pruneSilence {
+			delete(m.gone, id)
 		}
 	}
 }
 
 // replace drops an entry whose address answers under another id.
-func (m *members) replace(id string, by *peerpb.EntryInfo) {
+func (m *members) replace(id string, by *peerpb.EntryInfo, now time.Time) {
 	m.learn(by)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.known, id)
+	m.gone[id] = now
 }
