Keep entries that left from being learned again

Cause: an entry drops one that left after 2 s of silence, but a peer that drops it a moment later still names it in its heartbeats. It was then known again as one that is not leaving, until pruneSilence (10 min), and counted in the majority that confirms documents during an outage of the log. Change: members remembers what it dropped for pruneSilence; only a message of the entry itself brings it back. Conclusion: replacing entries one by one no longer raises the majority.

--- a/entry/members.go
+++ b/entry/members.go
@@ -37,6 +37,8 @@
 	self    string
 	started time.Time
 	known   map[string]*member
+	// left is when entries that left were dropped. Peers may still name them for a while.
+	left map[string]time.Time
 }
 
 func newMembers(self string, started time.Time, seeds []*peerpb.EntryInfo) *members {
@@ -44,6 +46,7 @@
 		self:    self,
 		started: started,
 		known:   map[string]*member{},
+		left:    map[string]time.Time{},
 	}
 	for _, seed := range seeds {
 		m.learn(seed)
@@ -77,13 +80,16 @@
 	return now.Sub(heard) <= limit
 }
 
-// learn adds an entry or its new address.
+// learn adds an entry or its new address. An entry that left is only added by a message of its own.
 func (m *members) learn(info *peerpb.EntryInfo) {
 	if info.GetId() == "" || info.GetId() == m.self || info.GetAddress() == "" {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if _, left := m.left[info.GetId()]; left {
+		return
+	}
 	known, ok := m.known[info.GetId()]
 	if !ok {
 		known = &member{}
@@ -120,6 +126,9 @@
 
 // observe records a message. asked is zero unless the message answers a call of this process.
 func (m *members) observe(beat *peerpb.Heartbeat, asked, now time.Time) {
+	m.mu.Lock()
+	delete(m.left, beat.GetSender().GetId())
+	m.mu.Unlock()
 	m.learn(beat.GetSender())
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -155,6 +164,14 @@
 		age := now.Sub(heard)
 		if (known.leaving && age > ownerSilence) || (silent && age > pruneSilence) {
 			delete(m.known, id)
+			if known.leaving {
+				m.left[id] = now
+			}
+		}
+	}
+	for id, since := range m.left {
+		if now.Sub(since) > pruneSilence {
+			delete(m.left, id)
 		}
 	}
 }
