--- a/entry/gangs.go
+++ b/entry/gangs.go
@@ -99,6 +99,12 @@
 		r.setState(stateQueued, "waits for the placer: "+err.Error())
 		r.sleep(ctx)
 		return nil, false
+	case reply.GetImpossible() && r.ran:
+		r.end(ctx, &peerpb.End{
+			Outcome: peerpb.Outcome_OUTCOME_FAILED,
+			Reasons: append(r.failureReasons(), reply.GetReasons()...),
+		})
+		return nil, false
 	case reply.GetImpossible():
 		r.refuse(ctx, peerpb.Outcome_OUTCOME_REFUSED, reply.GetReasons()...)
 		return nil, false
@@ -164,6 +170,7 @@
 		Agents:     agents,
 	})
 	refusal, started := run.start(ctx)
+	r.ran = r.ran || started
 	if refusal != "" && !started {
 		return r.abandon(ctx, run, refusal)
 	}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -58,6 +58,7 @@
 		r.count++
 		r.setState(stateRunning)
 		result := r.serve(ctx, target)
+		r.ran = r.ran || !result.refused
 		r.observe(target, result)
 		if r.settleServed(ctx, target, result) {
 			return
@@ -68,9 +69,22 @@
 	}
 }
 
-// endUnstarted ends a job that is cancelled or late and has not started.
+// endUnstarted ends a job that is cancelled or late and does not run now.
 func (r *runner) endUnstarted(ctx context.Context) bool {
 	switch {
+	case r.isCancelled() && r.ran:
+		r.end(ctx, &peerpb.End{
+			Outcome: peerpb.Outcome_OUTCOME_CANCELLED,
+			Reasons: []string{"cancelled by the caller; it may have run"},
+		})
+	case r.isLate() && r.ran && isRequest(r.job):
+		r.end(ctx, &peerpb.End{
+			Outcome: peerpb.Outcome_OUTCOME_LOST,
+			Reasons: append([]string{"not answered before its deadline; it may have run"}, r.failureReasons()...),
+		})
+	case r.isLate() && r.ran:
+		// A gang job that started in time goes on after an eviction.
+		return false
 	case r.isCancelled():
 		r.refuse(ctx, peerpb.Outcome_OUTCOME_CANCELLED, "cancelled by the caller before it ran")
 	case r.isLate():
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -31,6 +31,8 @@
 	generation int64
 	// adopted says that another entry owned the job before, so that work of it may be running.
 	adopted bool
+	// restated says that a carry stated the job.
+	restated bool
 	// direct says that the request has no accept record because the log is unavailable.
 	direct bool
 	// movable says that another entry could take the job over now.
@@ -43,7 +45,9 @@
 
 	// started says that a start record took effect.
 	started bool
-	count   int32
+	// ran says that the job may have run, in an attempt of this owner or of an earlier one. It is then never refused.
+	ran   bool
+	count int32
 	// excluded are the agents that refused the request since the last round over all of them.
 	excluded []string
 	// large is the class of the request, picked the time of the last choice.
@@ -65,7 +69,9 @@
 		job:        state.Job,
 		generation: state.Generation,
 		adopted:    adopted,
+		restated:   state.Restated != 0,
 		started:    state.Started,
+		ran:        state.Started || (adopted && state.Job.GetIdempotent()),
 		reports:    make(chan *peerpb.Report, reportBuffer),
 		cancelled:  make(chan struct{}),
 		done:       make(chan struct{}),
@@ -129,6 +135,20 @@
 	r.entry.forget(ctx, forget)
 }
 
+// endUncertain ends an adopted non-idempotent job whose earlier records the log may have dropped: it was accepted more
+// than half of the retention ago and never restated, so a start of it may be among the dropped records.
+func (r *runner) endUncertain(ctx context.Context) bool {
+	age := r.entry.config.Clock.Since(r.job.GetAccepted().AsTime())
+	if !r.adopted || r.restated || r.job.GetIdempotent() || age < r.entry.config.Retention/2 {
+		return false
+	}
+	r.end(ctx, &peerpb.End{
+		Outcome: peerpb.Outcome_OUTCOME_LOST,
+		Reasons: []string{"the platform's log no longer has its records; it may have run"},
+	})
+	return true
+}
+
 // isCancelled says whether a caller cancelled the job.
 func (r *runner) isCancelled() bool {
 	select {
@@ -162,7 +182,7 @@
 // run drives the job until it has ended or ctx ends.
 func (r *runner) run(ctx context.Context) {
 	defer close(r.done)
-	if r.entry.endFromPeer(ctx, r) {
+	if r.entry.endFromPeer(ctx, r) || r.endUncertain(ctx) {
 		return
 	}
 	if isRequest(r.job) {
