Move one job at a time for larger free shapes

Change: while no large job waits, at most one checkpointable borrowed job per 10 s is moved when the largest free adjacent shape grows by a worker.

--- a/placement/decide.go
+++ b/placement/decide.go
@@ -22,6 +22,7 @@
 	s.serveReserved(now)
 	s.probe(now)
 	s.serve(now)
+	s.compact(now)
 	s.answerFresh()
 	out := s.out
 	s.out = nil
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -29,6 +29,10 @@
 	deadlines   deadlineHeap
 	fresh       []*entry
 	unchecked   []*entry
+	// compacted is when moves for larger shapes were last considered.
+	compacted time.Time
+	// compactFrom is the worker at which that search went on last.
+	compactFrom int
 	// now is the time of the last Decide.
 	now time.Time
 	// first is when the first worker was seen.
