Forget the configured ids of entries that answer under another id

Cause: an entry drops a configured or earlier id once its address answers under another id, but the other entries' heartbeats named it again, even to the entry itself. Such ids stayed for as long as two entries named them to each other. They never confirm a revision, so it never counted as in effect everywhere, and they count as known entries in the majority of an outage. Change: an id that another entry names is learned only if its address is unknown, and never for an entry's own address.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,7 +60,7 @@
 		trace:        newTrace(config),
 	}
 	e.running, e.stop = context.WithCancel(context.Background())
-	e.members = newMembers(config.ID, e.started, config.Peers)
+	e.members = newMembers(e.info(), e.started, config.Peers)
 	e.jobs = newJobs(config, e.observeChange)
 	e.placer = newPlacer(e)
 	e.owner = newOwner(e)
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -101,7 +101,7 @@
 	}
 	e.observeTerm(beat.GetTerm(), beat.GetPlacer())
 	for _, info := range beat.GetKnown() {
-		e.members.learn(info)
+		e.members.learnNamed(info)
 	}
 	e.members.observe(beat, asked, e.config.Clock.Now())
 }
--- a/entry/members.go
+++ b/entry/members.go
@@ -34,12 +34,12 @@
 // members is the set of known entries, this one excluded.
 type members struct {
 	mu      sync.Mutex
-	self    string
+	self    *peerpb.EntryInfo
 	started time.Time
 	known   map[string]*member
 }
 
-func newMembers(self string, started time.Time, seeds []*peerpb.EntryInfo) *members {
+func newMembers(self *peerpb.EntryInfo, started time.Time, seeds []*peerpb.EntryInfo) *members {
 	m := &members{
 		self:    self,
 		started: started,
@@ -65,7 +65,7 @@
 // isAlive says whether an entry was heard within the limit. Before the process has run for the limit itself, an
 // entry that was never heard counts as alive, so that a newcomer does not take over from everybody.
 func (m *members) isAlive(id string, now time.Time, limit time.Duration) bool {
-	if id == m.self {
+	if id == m.self.GetId() {
 		return true
 	}
 	m.mu.Lock()
@@ -79,7 +79,8 @@
 
 // learn adds an entry or its new address.
 func (m *members) learn(info *peerpb.EntryInfo) {
-	if info.GetId() == "" || info.GetId() == m.self || info.GetAddress() == "" {
+	if info.GetId() == "" || info.GetId() == m.self.GetId() || info.GetAddress() == "" ||
+		info.GetAddress() == m.self.GetAddress() {
 		return
 	}
 	m.mu.Lock()
@@ -92,6 +93,17 @@
 	known.info = info
 }
 
+// learnNamed adds an entry that another one names, unless its address is known. The address itself tells which instance
+// listens there; two entries that named each other the ids of earlier instances would keep them forever.
+func (m *members) learnNamed(info *peerpb.EntryInfo) {
+	for _, known := range m.list() {
+		if known.info.GetAddress() == info.GetAddress() {
+			return
+		}
+	}
+	m.learn(info)
+}
+
 // list returns the known entries by id.
 func (m *members) list() []member {
 	m.mu.Lock()
