--- a/entry/members_gone_test.go
+++ b/entry/members_gone_test.go
@@ -47,7 +47,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			m := newMembers("entry-1", start, []*peerpb.EntryInfo{old})
+			m := newMembers(&peerpb.EntryInfo{Id: "entry-1", Address: "127.0.0.1:7001"}, start, []*peerpb.EntryInfo{old})
 			test.drop(m)
 			m.learn(old)
 			_, known := m.address(old.GetId())
--- a/entry/members_test.go
+++ b/entry/members_test.go
@@ -44,7 +44,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			m := newMembers("self", start, []*peerpb.EntryInfo{info("b"), info("self")})
+			m := newMembers(info("self"), start, []*peerpb.EntryInfo{info("b"), info("self")})
 			if test.heard >= 0 {
 				m.observe(&peerpb.Heartbeat{Sender: info(test.id)}, noTime, start.Add(test.heard))
 			}
@@ -57,7 +57,7 @@
 // others of ids that nobody answers to.
 func TestMembersReplace(t *testing.T) {
 	start := time.Unix(1000000, 0)
-	m := newMembers("self", start, []*peerpb.EntryInfo{info("b")})
+	m := newMembers(info("self"), start, []*peerpb.EntryInfo{info("b")})
 	require.Empty(t, m.heard())
 	m.replace("b", &peerpb.EntryInfo{Id: "b-2", Address: "b:1"}, start)
 	require.Equal(t, []string{"b-2"}, knownIDs(m))
@@ -74,7 +74,7 @@
 // TestMembersReply guards against counting a message that answers no call of this entry as fresh.
 func TestMembersReply(t *testing.T) {
 	start := time.Unix(1000000, 0)
-	m := newMembers("self", start, nil)
+	m := newMembers(info("self"), start, nil)
 	m.observe(&peerpb.Heartbeat{Sender: info("b"), Reads: true}, start, start.Add(time.Second))
 	m.observe(&peerpb.Heartbeat{Sender: info("b")}, noTime, start.Add(2*time.Second))
 	require.Equal(t, start, m.list()[0].asked)
@@ -84,7 +84,7 @@
 // TestMembersPrune guards against dropping entries during an outage of the log, when their number decides.
 func TestMembersPrune(t *testing.T) {
 	start := time.Unix(1000000, 0)
-	m := newMembers("self", start, []*peerpb.EntryInfo{info("silent")})
+	m := newMembers(info("self"), start, []*peerpb.EntryInfo{info("silent")})
 	m.observe(&peerpb.Heartbeat{Sender: info("left"), Leaving: true}, noTime, start)
 	m.prune(start.Add(ownerSilence), true)
 	require.Equal(t, []string{"left", "silent"}, knownIDs(m))
@@ -100,7 +100,7 @@
 // it would count in the majority for pruneSilence.
 func TestMembersLeftStaysAway(t *testing.T) {
 	start := time.Unix(1000000, 0)
-	m := newMembers("self", start, nil)
+	m := newMembers(info("self"), start, nil)
 	m.observe(&peerpb.Heartbeat{Sender: info("left"), Leaving: true}, noTime, start)
 	m.prune(start.Add(ownerSilence+1), true)
 	m.learn(info("left"))
