Take a denied request for not run only from an agent that has not restarted

Cause: query compared the boot of the agent's last announcement, which is up to 500 ms old. An agent that restarted and then denied the request still had its old boot there, so the request counted as not run and was sent again. Its backend server may have run it. Change: after a denial, query waits for an announcement that is younger than the denial. The same boot means that the request was not run, another one that it may have run. A call that was lost and never arrived waits up to 500 ms longer. Conclusion: a non-idempotent request is not sent twice when its agent restarts.

--- a/entry/requests.go
+++ b/entry/requests.go
@@ -135,29 +135,36 @@
 
 // query asks an agent what became of a request until it tells or is gone. Once an agent has said that it does not know
 // an attempt, it refuses that attempt, so a call that is still on its way cannot run later. An agent that restarted
-// in between cannot say so: its backend server may have restarted too.
+// in between cannot say so: its backend server may have restarted too. A restart shows only in the announcements, so
+// the answer counts after the agent has announced the same boot again.
 func (r *runner) query(ctx context.Context, target agentView, attempt *peerpb.Attempt) served {
+	// denied is when the agent first said that it does not know the attempt.
+	var denied time.Time
 	for ctx.Err() == nil {
 		view, known := r.entry.fleet.get(target.id)
-		if !known {
+		switch {
+		case !known:
 			return served{
 				lost:   true,
 				reason: fmt.Sprintf("agent %s is gone; the request may have run", target.id),
 			}
-		}
-		reply, err := r.entry.query(ctx, view.address, r.job.GetId(), attempt)
-		switch {
-		case err != nil:
-		case !reply.GetKnown() && view.boot == target.boot:
+		case !denied.IsZero() && view.boot != target.boot:
+			return served{
+				lost:   true,
+				reason: fmt.Sprintf("agent %s restarted; the request may have run", target.id),
+			}
+		case !denied.IsZero() && view.heard.After(denied):
 			return served{
 				refused: true,
 				reason:  fmt.Sprintf("agent %s never got the request", target.id),
 			}
+		}
+		reply, err := r.entry.query(ctx, view.address, r.job.GetId(), attempt)
+		switch {
+		case err != nil:
+		case !reply.GetKnown() && denied.IsZero():
+			denied = r.entry.config.Clock.Now()
 		case !reply.GetKnown():
-			return served{
-				lost:   true,
-				reason: fmt.Sprintf("agent %s restarted; the request may have run", target.id),
-			}
 		case !reply.GetRunning():
 			return r.readServed(target.id, reply.GetResult())
 		}
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -127,7 +127,9 @@
 	conn, err := inner.Accept()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.conns = append(a.conns, conn)
+	if err == nil {
+		a.conns = append(a.conns, conn)
+	}
 	return conn, err
 }
 
