Stop waiting for a start record when the job is cancelled or late

Cause: start waited for the log without a limit. A non-idempotent job that was cancelled or whose deadline passed during an outage of the log ran when the log came back. Change: the append of the start record ends with the cancellation or the deadline.

--- a/entry/calls.go
+++ b/entry/calls.go
@@ -73,7 +73,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.GetWait().AsDuration()+callTimeout)
 	defer cancel()
-	stop := e.cancelOnTermChange(ctx, cancel)
+	// A wait for a placer that was replaced ends, so that the job is sent to the new one at once.
+	stop := cancelOn(ctx, cancel, e.termChanges.changed())
 	defer stop()
 	reply, err := e.config.Pool.Call(ctx, address, &peerpb.Request{
 		Kind: &peerpb.Request_Place{
@@ -86,22 +87,19 @@
 	return reply.GetPlace(), nil
 }
 
-// cancelOnTermChange ends a wait for a placer that was replaced, so that the job is sent to the new one at once.
-func (e *Entry) cancelOnTermChange(ctx context.Context, cancel context.CancelFunc) (stop func()) {
-	changed := e.termChanges.changed()
-	done := make(chan struct{})
+// cancelOn cancels a context when a channel is closed. Call stop to release it; the context has ended then.
+func cancelOn(ctx context.Context, cancel context.CancelFunc, closed <-chan struct{}) (stop context.CancelFunc) {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		select {
 		case <-ctx.Done():
-		case <-done:
-		case <-changed:
+		case <-closed:
 			cancel()
 		}
 	}()
 	return func() {
-		close(done)
+		cancel()
 		<-ended
 	}
 }
--- a/entry/runner.go
+++ b/entry/runner.go
@@ -205,7 +205,9 @@
 	if r.job.GetIdempotent() || r.started {
 		return true
 	}
-	err := r.entry.jobs.append(ctx, &peerpb.Record{
+	wanted, stop := r.whileWanted(ctx)
+	defer stop()
+	err := r.entry.jobs.append(wanted, &peerpb.Record{
 		Kind: &peerpb.Record_Start{
 			Start: &peerpb.Start{
 				Job:        r.job.GetId(),
@@ -222,6 +224,21 @@
 	return r.started
 }
 
+// whileWanted returns a context that ends when the job is cancelled or its deadline passes, so that the job does not
+// start after an outage of the log that outlasts either.
+func (r *runner) whileWanted(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := cancelOn(ctx, cancel, r.cancelled)
+	if r.job.GetDeadline() == nil {
+		return ctx, stop
+	}
+	timer := r.entry.config.Clock.AfterFunc(r.entry.config.Clock.Until(r.job.GetDeadline().AsTime()), cancel)
+	return ctx, func() {
+		timer.Stop()
+		stop()
+	}
+}
+
 // attemptText formats an attempt for logs and reasons.
 func attemptText(attempt *peerpb.Attempt) string {
 	return strconv.FormatInt(attempt.GetGeneration(), 10) + "." + strconv.Itoa(int(attempt.GetCount()))
