Take the signal of a term change before reading the term

Cause: place read the placer first and the signal afterwards. A change in between was missed, and the job waited for the old placer until its wait of 3 s ended. Change: the signal is taken first, as the comment on signal asks.

--- a/entry/calls.go
+++ b/entry/calls.go
@@ -63,6 +63,7 @@
 
 // place asks the placer for a reservation and follows one redirection.
 func (e *Entry) place(ctx context.Context, request *peerpb.Place) (*peerpb.PlaceReply, error) {
+	changed := e.termChanges.changed()
 	_, placer := e.terms.current()
 	if placer == e.config.ID {
 		return e.placer.place(ctx, request), nil
@@ -74,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(ctx, request.GetWait().AsDuration()+callTimeout)
 	defer cancel()
 	// A wait for a placer that was replaced ends, so that the job is sent to the new one at once.
-	stop := cancelOn(ctx, cancel, e.termChanges.changed())
+	stop := cancelOn(ctx, cancel, changed)
 	defer stop()
 	reply, err := e.config.Pool.Call(ctx, address, &peerpb.Request{
 		Kind: &peerpb.Request_Place{
