--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -25,8 +25,6 @@
 	// askLimit is how long a caller asks for the end of its job.
 	askLimit = 40 * time.Second
 	askPause = 50 * time.Millisecond
-	// gangLimit is how long a gang may run without one of its members.
-	gangLimit = 4500 * time.Millisecond
 )
 
 // load is a set of concurrent callers and what they were told.
