--- a/entry/runner.go
+++ b/entry/runner.go
@@ -138,8 +138,10 @@
 // endUncertain ends an adopted non-idempotent job whose earlier records the log may have dropped: it was accepted more
 // than half of the retention ago and never restated, so a start of it may be among the dropped records.
 func (r *runner) endUncertain(ctx context.Context) bool {
-	age := r.entry.config.Clock.Since(r.job.GetAccepted().AsTime())
-	if !r.adopted || r.restated || r.job.GetIdempotent() || age < r.entry.config.Retention/2 {
+	if !r.adopted || r.restated || r.job.GetIdempotent() || r.job.GetAccepted() == nil {
+		return false
+	}
+	if r.entry.config.Clock.Since(r.job.GetAccepted().AsTime()) < r.entry.config.Retention/2 {
 		return false
 	}
 	r.end(ctx, &peerpb.End{
--- a/proof/operations_test.go
+++ b/proof/operations_test.go
@@ -34,8 +34,8 @@
 	streamWait = 2 * time.Second
 )
 
-// load is a continuous arrival of requests and gangs at all entries.
-type load struct {
+// arrivals is a continuous arrival of requests and gangs at all entries.
+type arrivals struct {
 	suite  *suite
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -43,9 +43,9 @@
 }
 
 // startLoad starts callers whose jobs arrive until stop is called or the test ends.
-func (s *suite) startLoad() *load {
+func (s *suite) startLoad() *arrivals {
 	ctx, cancel := context.WithCancel(s.t.Context())
-	l := &load{
+	l := &arrivals{
 		suite:  s,
 		cancel: cancel,
 	}
@@ -73,13 +73,13 @@
 }
 
 // stop ends the arrivals and waits for the callers.
-func (l *load) stop() {
+func (l *arrivals) stop() {
 	l.cancel()
 	l.work.Wait()
 }
 
 // submitAll submits copies of a job, each through the next entry. Errors are part of the faults under test.
-func (l *load) submitAll(ctx context.Context, stream int, job callerclient.Submission) {
+func (l *arrivals) submitAll(ctx context.Context, stream int, job callerclient.Submission) {
 	entries := len(l.suite.cluster.Entries)
 	for turn := stream; ctx.Err() == nil; turn++ {
 		job.ID = fmt.Sprintf("load-%d", l.count.Add(1))
