Lose the run when an eviction limit is shorter than a checkpoint

Cause: the replay took two seconds for a checkpoint but saved the run even when the limit was 0.5 s, as for urgent jobs. That flattered evictions for urgent work. Change: a shorter limit loses the run.

--- a/replay/run.go
+++ b/replay/run.go
@@ -13,7 +13,7 @@
 const (
 	// tick is how often Decide is called while nothing else happens.
 	tick = 500 * time.Millisecond
-	// checkpointing is how long a checkpoint takes if the limit allows.
+	// checkpointing is how long a checkpoint takes. A shorter limit stops the job and loses the run.
 	checkpointing = 2 * time.Second
 	// failing is how long a task runs before it fails.
 	failing = time.Second
@@ -234,7 +234,7 @@
 			at:      now + took,
 			job:     d.Job,
 			attempt: record.attempt,
-			saved:   d.Checkpoint,
+			saved:   d.Checkpoint && d.Limit >= checkpointing,
 		})
 	case placement.Refuse:
 		r.finish(now, record, "refused")
