--- a/proof/operations_test.go
+++ b/proof/operations_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -151,7 +152,8 @@
 	require.NoError(s.t, err)
 	_, claim := fold.Claim()
 	for i, entry := range s.cluster.Entries {
-		if entry.Name == claim.GetPlacer() {
+		// An id ends in a part of its own for each run of the process.
+		if strings.HasPrefix(claim.GetPlacer(), entry.Name+".") {
 			return i
 		}
 	}
