Don't restore a gang that its owner declared ended

Cause: the placer restores announced tasks that it has not placed. An announcement from before the end of an evicted borrower still showed it as running, so the placer restored it, evicted it again and kept its accelerators from the workspace that reclaimed them. Change: the placer keeps the attempts that owners declared ended for as long as an announcement can lag behind, and does not restore them. Conclusion: a reclaim no longer waits for accelerators that are free.

--- a/entry/placer.go
+++ b/entry/placer.go
@@ -37,6 +37,12 @@
 	seen time.Time
 }
 
+// endedAttempt is an attempt that its owner declared ended.
+type endedAttempt struct {
+	attempt *peerpb.Attempt
+	at      time.Time
+}
+
 // placer decides where gang jobs run while this entry holds the highest term.
 type placer struct {
 	entry *Entry
@@ -50,6 +56,8 @@
 	workers   map[string]placement.Worker
 	waits     map[string]*placeWait
 	placed    map[string]*placedJob
+	// ended holds, by job, what announcements from before the end may still show as running.
+	ended map[string]endedAttempt
 }
 
 func newPlacer(e *Entry) *placer {
@@ -76,6 +84,12 @@
 	if p.scheduler == nil {
 		return
 	}
+	if placed, ok := p.placed[forget.GetJob()]; ok {
+		p.ended[forget.GetJob()] = endedAttempt{
+			attempt: placed.attempt,
+			at:      p.entry.config.Clock.Now(),
+		}
+	}
 	p.endLocked(forget)
 	p.kick()
 }
--- a/entry/placersync.go
+++ b/entry/placersync.go
@@ -26,6 +26,7 @@
 	p.workers = map[string]placement.Worker{}
 	p.waits = map[string]*placeWait{}
 	p.placed = map[string]*placedJob{}
+	p.ended = map[string]endedAttempt{}
 	return true
 }
 
@@ -42,6 +43,7 @@
 	p.scheduler = nil
 	p.waits = nil
 	p.placed = nil
+	p.ended = nil
 }
 
 // syncPolicy passes a new document on.
@@ -81,6 +83,7 @@
 // syncTasks compares the scheduler's view with the announced tasks: gangs found running after a change of placer are
 // restored, and placed jobs that nobody announces are dropped.
 func (p *placer) syncTasks(now time.Time) {
+	p.forgetEnded(now)
 	running := map[string][]placedTask{}
 	for _, view := range p.entry.fleet.list() {
 		for _, task := range view.tasks {
@@ -91,7 +94,7 @@
 				placed.seen = now
 				continue
 			}
-			if !task.GetHold() {
+			if !task.GetHold() && !p.hasEnded(task) {
 				running[task.GetJob()] = append(running[task.GetJob()], placedTask{
 					agent:   view.id,
 					address: view.address,
@@ -114,6 +117,22 @@
 	}
 }
 
+// forgetEnded drops the ends that no announcement can lag behind any more.
+func (p *placer) forgetEnded(now time.Time) {
+	for job, ended := range p.ended {
+		if now.Sub(ended.at) > agentGone {
+			delete(p.ended, job)
+		}
+	}
+}
+
+// hasEnded says whether the owner declared the announced attempt ended. Its accelerators are free then, and restoring it
+// would keep them from the job that they were reclaimed for.
+func (p *placer) hasEnded(task *peerpb.TaskInfo) bool {
+	ended, ok := p.ended[task.GetJob()]
+	return ok && compareAttempts(task.GetAttempt(), ended.attempt) <= 0
+}
+
 // restore tells the scheduler of a gang that another placer has placed.
 func (p *placer) restore(now time.Time, job string, tasks []placedTask) {
 	state, ok := p.entry.jobs.state(job)
