--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -15,7 +15,6 @@
 
 	"radishpath.example/radishpath/caller/callerclient"
 	"radishpath.example/radishpath/proof/harness"
-	"radishpath.example/radishpath/standin/logserver"
 	"radishpath.example/radishpath/standin/workerserver"
 )
 
@@ -79,7 +78,10 @@
 	until time.Time
 }
 
+// newLoad guarantees the callers' workspace three workers, because gangs that must not run twice never borrow, and
+// returns a load on the suite.
 func newLoad(s *suite) *load {
+	s.publish(0, document(nil, "1x8@worker, 1x8@worker, 1x8@worker"))
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: 100,
 	}
@@ -349,19 +351,6 @@
 	}
 }
 
-// withLog sets faults of the log for a time and returns when they were set and removed.
-func (s *suite) withLog(faults logserver.Faults, d time.Duration) period {
-	s.t.Helper()
-	fault := period{
-		from: s.clock.Now(),
-	}
-	s.cluster.Log.SetFaults(faults)
-	s.clock.Sleep(d)
-	s.cluster.Log.SetFaults(logserver.Faults{})
-	fault.until = s.clock.Now()
-	return fault
-}
-
 // ready waits until an entry that was started again may get traffic.
 func (s *suite) ready(entry int) {
 	s.t.Helper()
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -78,9 +78,9 @@
 	})
 	l.stagger(0, "append-lost")
 	l.stagger(1, "unavailable")
-	s.withLog(logserver.Faults{
+	s.during(logserver.Faults{
 		Unavailable: "close",
-	}, 3*time.Second)
+	}, 3*time.Second, func() {})
 	l.wait()
 	for round := range 2 {
 		for i := range 10 {
