--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -30,6 +30,7 @@
 
 [workspace "weddings"]
 share = 40
+guarantee = 2x8@zone
 token = sha256:6b86b273ff34fce19d6b804eff5a3f5747ada4eaa22f1d49c01e52ddb7875b4b
 `
 
@@ -278,7 +279,7 @@
 // until moves the clock, ten times as fast as real time, until a condition holds.
 func (r *rig) until(what string, condition func() bool) {
 	r.t.Helper()
-	for limit := time.Now().Add(20 * time.Second); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+	for limit := time.Now().Add(6 * time.Second); time.Now().Before(limit); time.Sleep(time.Millisecond) {
 		if condition() {
 			return
 		}
