Let the harness claim more blocks of ports, name a process's listeners

One block holds 99 ports, enough for about 30 agents with their workers. A deployment of 96 agents needs 301. Measurements need the ports to tell the connections of a process apart.

Change: take claims the next free block when one is used up; Process.Listens returns the addresses.

--- a/proof/harness/ports.go
+++ b/proof/harness/ports.go
@@ -15,50 +15,64 @@
 	blockSize = 100
 )
 
-// ports hands out ports of one block. The listener on the block's first port keeps other test processes out of it.
+// ports hands out ports of whole blocks. The listener on each block's first port keeps other test processes out of it.
 type ports struct {
-	guard net.Listener
-	next  int
-	end   int
+	guards []net.Listener
+	next   int
+	end    int
 }
 
 // newPorts claims a free block.
 func newPorts() (*ports, error) {
+	p := &ports{}
+	if err := p.claim(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// claim adds the next free block, so that a deployment may need more ports than one block has.
+func (p *ports) claim() error {
 	for block := range blocks {
 		begin := firstPort + block*blockSize
 		guard, err := listen(begin)
 		if err != nil {
 			continue
 		}
-		return &ports{
-			guard: guard,
-			next:  begin + 1,
-			end:   begin + blockSize,
-		}, nil
+		p.guards = append(p.guards, guard)
+		p.next = begin + 1
+		p.end = begin + blockSize
+		return nil
 	}
-	return nil, errors.New("no free block of ports")
+	return errors.New("no free block of ports")
 }
 
-// close gives the block back.
+// close gives the blocks back.
 func (p *ports) close() {
-	_ = p.guard.Close()
+	for _, guard := range p.guards {
+		_ = guard.Close()
+	}
 }
 
 // take returns an address that nothing listens on.
 func (p *ports) take() (string, error) {
-	for p.next < p.end {
-		port := p.next
-		p.next++
-		probe, err := listen(port)
-		if err != nil {
-			continue
+	for {
+		for p.next < p.end {
+			port := p.next
+			p.next++
+			probe, err := listen(port)
+			if err != nil {
+				continue
+			}
+			if err = probe.Close(); err != nil {
+				return "", fmt.Errorf("close probe: %w", err)
+			}
+			return probe.Addr().String(), nil
 		}
-		if err = probe.Close(); err != nil {
-			return "", fmt.Errorf("close probe: %w", err)
+		if err := p.claim(); err != nil {
+			return "", err
 		}
-		return probe.Addr().String(), nil
 	}
-	return "", errors.New("block of ports is used up")
 }
 
 func listen(port int) (net.Listener, error) {
--- a/proof/harness/process.go
+++ b/proof/harness/process.go
@@ -75,6 +75,11 @@
 	p.await(endLimit)
 }
 
+// Listens returns the addresses that the process accepts connections on; the first one is for its peers.
+func (p *Process) Listens() []string {
+	return append([]string{}, p.listens...)
+}
+
 // Output returns the path of the file with the process's standard output and standard error.
 func (p *Process) Output() string {
 	return p.output
