--- a/agent/slots.go
+++ b/agent/slots.go
@@ -10,7 +10,7 @@
 
 const (
 	// reservedSlots always stay free from large requests, so that a small one never waits behind large ones only.
-	reservedSlots = 2
+	reservedSlots = 1
 	// largeSlots stay free from small requests while a large one waits or runs, so that large ones finish steadily.
 	largeSlots = 1
 )
--- a/bench/main.go
+++ b/bench/main.go
@@ -23,6 +23,48 @@
 			os.Exit(1)
 		}
 	}
+	requests(os.Stdout)
+}
+
+// requests prints how small requests fare beside large ones, by the router and by two baselines.
+func requests(w io.Writer) {
+	arrivals := replay.Requests(1)
+	routed, fifo, turns := replay.RouteRequests(arrivals), replay.FIFORequests(arrivals), replay.RoundRobinRequests(arrivals)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprint(table, "\nrequests, 11 servers of 8 slots\trouter\tFIFO\tround robin\ttarget\treached\n")
+	for _, r := range []struct {
+		name   string
+		target string
+		value  func(replay.RequestMeasures) float64
+		ok     bool
+	}{
+		{
+			name:   "small, p99 / run time, before the burst",
+			target: "<= 1.2",
+			value:  func(m replay.RequestMeasures) float64 { return m.Small },
+			ok:     routed.Small <= 1.2,
+		},
+		{
+			name:   "burst of large, small p99 s",
+			target: "<= FIFO/10",
+			value:  func(m replay.RequestMeasures) float64 { return m.Burst },
+			ok:     routed.Burst <= fifo.Burst/10,
+		},
+		{
+			name:   "large, p95 s",
+			target: "<= FIFO",
+			value:  func(m replay.RequestMeasures) float64 { return m.Large },
+			ok:     routed.Large <= fifo.Large,
+		},
+	} {
+		reached := "no"
+		if r.ok {
+			reached = "yes"
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%.2f\t%.2f\t%.2f\t%s\t%s\n",
+			r.name, r.value(routed), r.value(fifo), r.value(turns), r.target, reached)
+	}
+	_ = table.Flush()
 }
 
 // row is one measure with its target.
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -129,3 +129,14 @@
 	_, err := Read(bytes.NewBufferString("{\"at\":0,\"event\":\"repair\"}\n{\"at\":\n"))
 	require.ErrorContains(t, err, "line 2")
 }
+
+// TestRequests guards against small requests that wait behind large ones: the stated targets are 1.2 times the run time
+// before the burst and a tenth of FIFO's in it.
+func TestRequests(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		arrivals := Requests(seed)
+		routed, fifo := RouteRequests(arrivals), FIFORequests(arrivals)
+		require.LessOrEqual(t, routed.Small, 1.2, "seed %d", seed)
+		require.LessOrEqual(t, routed.Burst, fifo.Burst/10, "seed %d", seed)
+	}
+}
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -15,7 +15,8 @@
 //
 // # Selection
 //
-// The server with the least estimated work per slot and travel wins. The work is the run time of what the server
+// The server with the least expected wait and travel wins, of those the one with the least estimated work. A request
+// does not wait where a slot is free; elsewhere it waits for the work per slot: the run time of what the server
 // announced as outstanding and of what this router sent since. Servers are passed over when they are silent
 // for 3 s, leaving, in a zone out of service, failing, full, or excluded by the request; a Choice and a NoServerError
 // name them with the reason.
@@ -25,7 +26,7 @@
 // A request is small when its estimate is at most Config.Small. Estimates are learned from run times per workspace and
 // kind. Declared run times are wrong by up to 10 times, so before the first observation a request counts as small only
 // if ten times its declared time is small. A request that runs longer than Config.Small counts as large from then on.
-// Large requests leave a quarter of every server's slots free, at least one, so that small requests do not wait behind
+// Large requests leave an eighth of every server's slots free, at least one, so that small requests do not wait behind
 // them.
 //
 // # Failures
--- a/routing/router.go
+++ b/routing/router.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sync"
@@ -20,8 +21,8 @@
 	defaultSmall = time.Second
 	// defaultDistance is the round trip between two availability zones of today's deployments: 1.5 ms one way.
 	defaultDistance = 3 * time.Millisecond
-	// largeShare is the part of the slots, in quarters, that large requests may use.
-	largeShare = 3
+	// smallShare is the part of the slots, as a divisor, that large requests leave to small ones.
+	smallShare = 8
 	// failureLimit is that of design section 6; the pauses follow the package comment.
 	failureLimit  = 3
 	firstPause    = time.Second
@@ -126,7 +127,7 @@
 		choice.Estimate = r.large
 	}
 	var best *load
-	var bestCost time.Duration
+	var bestWait, bestWork time.Duration
 	var bestRank uint64
 	for i := range servers {
 		server := &servers[i]
@@ -140,16 +141,17 @@
 			continue
 		}
 		travel := r.config.Distance(request.Zone, server.Zone)
-		queue := work / time.Duration(max(server.Slots, 1))
-		cost, rank := queue+travel, hash(request.Job, server.ID)
-		if best != nil && (cost > bestCost || cost == bestCost && rank >= bestRank) {
-			continue
+		// A request starts at once in a free slot, however long the others on that server run.
+		wait, rank := travel, hash(request.Job, server.ID)
+		if outstanding >= server.Slots {
+			wait += work / time.Duration(max(server.Slots, 1))
 		}
-		best, bestCost, bestRank = l, cost, rank
-		choice.Server, choice.Wait = server.ID, cost
-		if outstanding < server.Slots {
-			choice.Wait = travel
+		order := cmp.Or(cmp.Compare(wait, bestWait), cmp.Compare(work, bestWork), cmp.Compare(rank, bestRank))
+		if best != nil && order >= 0 {
+			continue
 		}
+		best, bestWait, bestWork, bestRank = l, wait, work, rank
+		choice.Server, choice.Wait = server.ID, wait
 	}
 	if best == nil {
 		return Choice{}, fmt.Errorf("route job %s: %w", request.Job, &NoServerError{
@@ -247,10 +249,9 @@
 	return h
 }
 
-// largeSlots returns how many slots large requests may use: three quarters, at least one, and not all unless there is
-// only one.
+// largeSlots returns how many slots large requests may use: all but an eighth, and at least one.
 func largeSlots(slots int) int {
-	return max(slots*largeShare/4, 1)
+	return max(slots-max(slots/smallShare, 1), 1)
 }
 
 // passOver returns why a server cannot take the request, or nothing.
