End evicted jobs by their agents' announcements

Cause: the placer freed an evicted borrower's accelerators when the borrower's owner said so. If that owner was the killed placer, the accelerators stayed taken until its jobs were adopted. Change: an evicted job whose agents announce the end of every member is ended at once; their announcement is authoritative for their accelerators. Conclusion: a reclaim does not depend on the borrowers' owner.

--- a/entry/placer.go
+++ b/entry/placer.go
@@ -35,6 +35,8 @@
 	members []*peerpb.Member
 	// seen is when it was placed or last announced.
 	seen time.Time
+	// evicted says that its agents were told to end it.
+	evicted bool
 }
 
 // endedAttempt is an attempt that its owner declared ended.
@@ -84,6 +86,12 @@
 	if p.scheduler == nil {
 		return
 	}
+	p.endPlaced(forget)
+	p.kick()
+}
+
+// endPlaced ends a job's attempt that is known to have ended.
+func (p *placer) endPlaced(forget *peerpb.Forget) {
 	if placed, ok := p.placed[forget.GetJob()]; ok {
 		p.ended[forget.GetJob()] = endedAttempt{
 			attempt: placed.attempt,
@@ -91,7 +99,6 @@
 		}
 	}
 	p.endLocked(forget)
-	p.kick()
 }
 
 func (p *placer) endLocked(forget *peerpb.Forget) {
@@ -273,6 +280,7 @@
 	if !ok {
 		return nil
 	}
+	placed.evicted = true
 	run := p.gangRun(decided.Job, placed.attempt, placed.members)
 	return func(ctx context.Context) { run.evict(ctx, decided.Checkpoint, decided.Limit) }
 }
--- a/entry/placersync.go
+++ b/entry/placersync.go
@@ -84,6 +84,7 @@
 // restored, and placed jobs that nobody announces are dropped.
 func (p *placer) syncTasks(now time.Time) {
 	p.forgetEnded(now)
+	p.endEvicted()
 	running := map[string][]placedTask{}
 	for _, view := range p.entry.fleet.list() {
 		for _, task := range view.tasks {
@@ -117,6 +118,29 @@
 	}
 }
 
+// endEvicted ends the evicted jobs whose agents announce the end of every member. Their owner may be gone, and a reclaim
+// must not wait until its jobs are adopted.
+func (p *placer) endEvicted() {
+	for job, placed := range p.placed {
+		if !placed.evicted {
+			continue
+		}
+		ended := map[int32]bool{}
+		for _, found := range p.entry.fleet.tasksOf(job) {
+			if found.task.GetEnded() && compareAttempts(found.task.GetAttempt(), placed.attempt) == 0 {
+				ended[found.task.GetMember()] = true
+			}
+		}
+		if len(ended) == len(placed.members) {
+			p.endPlaced(&peerpb.Forget{
+				Job:    job,
+				Reason: "evicted",
+				Again:  true,
+			})
+		}
+	}
+}
+
 // forgetEnded drops the ends that no announcement can lag behind any more.
 func (p *placer) forgetEnded(now time.Time) {
 	for job, ended := range p.ended {
