--- a/proof/operations_test.go
+++ b/proof/operations_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -43,8 +42,8 @@
 	count  atomic.Int64
 }
 
-// startLoad starts callers whose jobs arrive until stop is called or the test ends.
-func (s *suite) startLoad() *load {
+// startLoad starts callers whose jobs arrive until the test ends.
+func (s *suite) startLoad() {
 	ctx, cancel := context.WithCancel(s.t.Context())
 	l := &load{
 		suite:  s,
@@ -70,7 +69,6 @@
 		})
 	}
 	s.t.Cleanup(l.stop)
-	return l
 }
 
 // stop ends the arrivals and waits for the callers.
@@ -204,9 +202,3 @@
 		return event.Event == workerserver.EventEnd && event.State == platform.StateDone && started[event.ID]
 	}
 }
-
-// isConflict reports whether a publish lost to another one.
-func isConflict(err error) bool {
-	var conflict *operator.ConflictError
-	return errors.As(err, &conflict)
-}
