--- a/entry/placer.go
+++ b/entry/placer.go
@@ -39,7 +39,7 @@
 	evicted bool
 }
 
-// endedAttempt is an attempt that its owner declared ended.
+// endedAttempt is an attempt that its owner or its agents declared ended.
 type endedAttempt struct {
 	attempt *peerpb.Attempt
 	at      time.Time
--- a/entry/placersync.go
+++ b/entry/placersync.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// endEvicted ends the evicted jobs whose agents announce the end of every member. Their owner may be gone, and a reclaim
-// must not wait until its jobs are adopted.
+// endEvicted ends the evicted jobs whose agents announce the end of every member. Their owner may be gone, and a
+// reclaim must not wait until its jobs are adopted.
 func (p *placer) endEvicted() {
 	for job, placed := range p.placed {
 		if !placed.evicted {
@@ -150,7 +150,7 @@
 	}
 }
 
-// hasEnded says whether the owner declared the announced attempt ended. Its accelerators are free then, and restoring it
+// hasEnded says whether the announced attempt is known to have ended. Its accelerators are free then, and restoring it
 // would keep them from the job that they were reclaimed for.
 func (p *placer) hasEnded(task *peerpb.TaskInfo) bool {
 	ended, ok := p.ended[task.GetJob()]
