--- a/entry/placer.go
+++ b/entry/placer.go
@@ -35,9 +35,11 @@
 	members []*peerpb.Member
 	// seen is when it was placed or last announced.
 	seen time.Time
+	// evicted says that its agents were told to end it.
+	evicted bool
 }
 
-// endedAttempt is an attempt that its owner declared ended.
+// endedAttempt is an attempt that its owner or its agents declared ended.
 type endedAttempt struct {
 	attempt *peerpb.Attempt
 	at      time.Time
@@ -87,6 +89,12 @@
 	if p.scheduler == nil {
 		return
 	}
+	p.endPlaced(forget)
+	p.kick()
+}
+
+// endPlaced ends a job's attempt that is known to have ended.
+func (p *placer) endPlaced(forget *peerpb.Forget) {
 	if placed, ok := p.placed[forget.GetJob()]; ok {
 		p.ended[forget.GetJob()] = endedAttempt{
 			attempt: placed.attempt,
@@ -94,7 +102,6 @@
 		}
 	}
 	p.endLocked(forget)
-	p.kick()
 }
 
 func (p *placer) endLocked(forget *peerpb.Forget) {
@@ -276,6 +283,7 @@
 	if !ok {
 		return nil
 	}
+	placed.evicted = true
 	run := p.gangRun(decided.Job, placed.attempt, placed.members)
 	return func(ctx context.Context) { run.evict(ctx, decided.Checkpoint, decided.Limit) }
 }
--- a/entry/placersync.go
+++ b/entry/placersync.go
@@ -91,6 +91,7 @@
 // restored, and placed jobs that nobody announces are dropped.
 func (p *placer) syncTasks(now time.Time) {
 	p.forgetEnded(now)
+	p.endEvicted()
 	running := map[string][]placedTask{}
 	for _, view := range p.entry.fleet.list() {
 		for _, task := range view.tasks {
@@ -124,6 +125,29 @@
 	}
 }
 
+// endEvicted ends the evicted jobs whose agents announce the end of every member. Their owner may be gone, and a
+// reclaim must not wait until its jobs are adopted.
+func (p *placer) endEvicted() {
+	for job, placed := range p.placed {
+		if !placed.evicted {
+			continue
+		}
+		ended := map[int32]bool{}
+		for _, found := range p.entry.fleet.tasksOf(job) {
+			if found.task.GetEnded() && compareAttempts(found.task.GetAttempt(), placed.attempt) == 0 {
+				ended[found.task.GetMember()] = true
+			}
+		}
+		if len(ended) == len(placed.members) {
+			p.endPlaced(&peerpb.Forget{
+				Job:    job,
+				Reason: "evicted",
+				Again:  true,
+			})
+		}
+	}
+}
+
 // forgetEnded drops the ends that no announcement can lag behind any more.
 func (p *placer) forgetEnded(now time.Time) {
 	for job, ended := range p.ended {
@@ -133,7 +157,7 @@
 	}
 }
 
-// hasEnded says whether the owner declared the announced attempt ended. Its accelerators are free then, and restoring it
+// hasEnded says whether the announced attempt is known to have ended. Its accelerators are free then, and restoring it
 // would keep them from the job that they were reclaimed for.
 func (p *placer) hasEnded(task *peerpb.TaskInfo) bool {
 	ended, ok := p.ended[task.GetJob()]
