Check the member index that another process names

Cause: record, findGang and restore compared the index only with the number of members. A negative one ended the watch before all members had ended, or stopped the entry with a panic. Change: memberIndex checks both bounds for all three. Conclusion: such a report or task is dropped.

--- a/entry/gangcalls.go
+++ b/entry/gangcalls.go
@@ -76,6 +76,12 @@
 	return 0
 }
 
+// memberIndex returns the index of a member that another process named, if the gang has it.
+func memberIndex(member int32, members int) (int, bool) {
+	at := int(member)
+	return at, at >= 0 && at < members
+}
+
 // evict asks every member to checkpoint, if the job can, and to stop within the limit.
 func (g *gangRun) evict(ctx context.Context, checkpoint bool, limit time.Duration) {
 	g.all(ctx, func(ctx context.Context, member int32, at *peerpb.Member) (bool, string) {
--- a/entry/gangs.go
+++ b/entry/gangs.go
@@ -211,8 +211,8 @@
 	}
 	found := 0
 	for _, placed := range tasks {
-		at := int(placed.task.GetMember())
-		if placed.task.GetHold() || at >= len(members) || members[at] != nil ||
+		at, ok := memberIndex(placed.task.GetMember(), len(members))
+		if !ok || placed.task.GetHold() || members[at] != nil ||
 			compareAttempts(placed.task.GetAttempt(), highest) != 0 {
 			continue
 		}
@@ -492,8 +492,9 @@
 // record takes a member's report; reports of other attempts and broken answers are dropped.
 func (g *gangRun) record(report *peerpb.Report) {
 	logger := g.runner.entry.logger
-	if compareAttempts(report.GetAttempt(), g.attempt) != 0 || int(report.GetMember()) >= len(g.members) {
-		logger.Warn("drop report of another attempt", "job", report.GetJob(),
+	_, ok := memberIndex(report.GetMember(), len(g.members))
+	if !ok || compareAttempts(report.GetAttempt(), g.attempt) != 0 {
+		logger.Warn("drop report of another attempt", "job", report.GetJob(), "member", report.GetMember(),
 			"attempt", attemptText(report.GetAttempt()), "current", attemptText(g.attempt))
 		return
 	}
--- a/entry/placersync.go
+++ b/entry/placersync.go
@@ -123,8 +123,8 @@
 	members := make([]*peerpb.Member, max(state.Job.GetMembers(), 1))
 	assignments := make([]placement.Assignment, len(members))
 	for _, found := range tasks {
-		at := int(found.task.GetMember())
-		if at >= len(members) {
+		at, ok := memberIndex(found.task.GetMember(), len(members))
+		if !ok {
 			return
 		}
 		members[at] = &peerpb.Member{
