--- a/entry/gangs_test.go
+++ b/entry/gangs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,9 +24,10 @@
 	for _, id := range agents {
 		g.agent(id, func(request *peerpb.Request) *peerpb.Reply {
 			g.mu.Lock()
-			defer g.mu.Unlock()
-			if g.refuse != nil {
-				if reason := g.refuse(id, request); reason != "" {
+			refuse := g.refuse
+			g.mu.Unlock()
+			if refuse != nil {
+				if reason := refuse(id, request); reason != "" {
 					return &peerpb.Reply{Kind: &peerpb.Reply_Verdict{Verdict: &peerpb.Verdict{Reason: reason}}}
 				}
 			}
@@ -200,10 +202,9 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			g := newGangRig(t, "w1", "w2")
-			refused := 0
+			var refused atomic.Bool
 			g.setRefuse(func(agent string, request *peerpb.Request) string {
-				if agent == "w2" && test.kind(request) && refused == 0 {
-					refused++
+				if agent == "w2" && test.kind(request) && refused.CompareAndSwap(false, true) {
 					return "no"
 				}
 				return ""
