Don't restore a gang whose owner has told its end

Cause: agents announce every 500 ms. After an owner told the placer that an attempt had ended, the next decision found its tasks still announced and restored the gang. Its accelerators then stayed idle until unseenLimit (5 s), and a job that was to run again waited for that long. Change: the placer remembers the last ended attempt of a job and restores only later ones. Conclusion: accelerators are free as soon as the owner tells the end.

--- a/entry/placer.go
+++ b/entry/placer.go
@@ -37,6 +37,13 @@
 	seen time.Time
 }
 
+// endedAttempt is the last attempt of a job whose end its owner told.
+type endedAttempt struct {
+	attempt *peerpb.Attempt
+	// seen is when it ended or was last announced.
+	seen time.Time
+}
+
 // placer decides where gang jobs run while this entry holds the highest term.
 type placer struct {
 	entry *Entry
@@ -50,6 +57,8 @@
 	workers   map[string]placement.Worker
 	waits     map[string]*placeWait
 	placed    map[string]*placedJob
+	// ended keeps tasks from being restored whose agents have not announced their end yet.
+	ended map[string]*endedAttempt
 }
 
 func newPlacer(e *Entry) *placer {
@@ -76,10 +85,21 @@
 	if p.scheduler == nil {
 		return
 	}
+	p.markEnded(forget.GetJob())
 	p.endLocked(forget)
 	p.kick()
 }
 
+// markEnded notes that a job's owner has ended its placed attempt.
+func (p *placer) markEnded(job string) {
+	if placed, ok := p.placed[job]; ok {
+		p.ended[job] = &endedAttempt{
+			attempt: placed.attempt,
+			seen:    p.entry.config.Clock.Now(),
+		}
+	}
+}
+
 func (p *placer) endLocked(forget *peerpb.Forget) {
 	now := p.entry.config.Clock.Now()
 	job := forget.GetJob()
@@ -146,6 +166,7 @@
 			return wait, nil
 		}
 		p.entry.logger.Info("owner asks again for a placed job", "job", id, "attempt", attemptText(placed.attempt))
+		p.markEnded(id)
 		p.endLocked(&peerpb.Forget{
 			Job:   id,
 			Again: true,
--- a/entry/placersync.go
+++ b/entry/placersync.go
@@ -26,6 +26,7 @@
 	p.workers = map[string]placement.Worker{}
 	p.waits = map[string]*placeWait{}
 	p.placed = map[string]*placedJob{}
+	p.ended = map[string]*endedAttempt{}
 	return true
 }
 
@@ -91,7 +92,7 @@
 				placed.seen = now
 				continue
 			}
-			if !task.GetHold() {
+			if !task.GetHold() && !p.hasEnded(now, task) {
 				running[task.GetJob()] = append(running[task.GetJob()], placedTask{
 					agent:   view.id,
 					address: view.address,
@@ -103,6 +104,11 @@
 	for job, tasks := range running {
 		p.restore(now, job, tasks)
 	}
+	for job, ended := range p.ended {
+		if now.Sub(ended.seen) > agentGone {
+			delete(p.ended, job)
+		}
+	}
 	for job, placed := range p.placed {
 		if now.Sub(placed.seen) > unseenLimit {
 			p.endLocked(&peerpb.Forget{
@@ -114,6 +120,16 @@
 	}
 }
 
+// hasEnded says whether a task belongs to an attempt that its owner has ended.
+func (p *placer) hasEnded(now time.Time, task *peerpb.TaskInfo) bool {
+	ended, ok := p.ended[task.GetJob()]
+	if !ok || compareAttempts(task.GetAttempt(), ended.attempt) > 0 {
+		return false
+	}
+	ended.seen = now
+	return true
+}
+
 // restore tells the scheduler of a gang that another placer has placed.
 func (p *placer) restore(now time.Time, job string, tasks []placedTask) {
 	state, ok := p.entry.jobs.state(job)
