Queue a job again whose owner supersedes an attempt that is being reserved

Cause: the wait of the old attempt stayed, so the job was not submitted to the scheduler again, and the owner got the reservation of the attempt that it had given up, for which the placer kept no place. The owner's request was also replaced while the reservation read it. Change: endLocked answers and drops a wait whose reservation is in progress. Conclusion: an owner gets a reservation only for the attempt that it asks for.

--- a/entry/placer.go
+++ b/entry/placer.go
@@ -27,6 +27,8 @@
 	result  chan *peerpb.PlaceReply
 	// polled is when the owner last asked.
 	polled time.Time
+	// reserving says that the job is placed and its members are being held.
+	reserving bool
 }
 
 // placedJob is a job that the scheduler has placed.
@@ -111,6 +113,13 @@
 		})
 		delete(p.placed, job)
 	}
+	if wait, ok := p.waits[job]; ok && wait.reserving {
+		// The reservation in progress is for an attempt that ended.
+		wait.result <- &peerpb.PlaceReply{
+			Reasons: []string{"the attempt was superseded"},
+		}
+		delete(p.waits, job)
+	}
 	if !forget.GetOk() && !forget.GetAgain() {
 		p.scheduler.Cancel(now, job)
 		delete(p.waits, job)
@@ -260,6 +269,7 @@
 		return nil
 	}
 	p.write(decided, wait)
+	wait.reserving = true
 	p.placed[decided.Job] = &placedJob{
 		attempt: wait.request.GetAttempt(),
 		members: members,
@@ -340,16 +350,15 @@
 	if p.scheduler == nil || p.waits[job] != wait {
 		return
 	}
+	delete(p.waits, job)
 	if refusal != "" {
 		// The owner's next attempt number supersedes what an agent may still hold of this one.
 		p.endLocked(&peerpb.Forget{
 			Job:    job,
 			Reason: refusal,
 		})
-		reply.Reservation = nil
 	}
 	wait.result <- reply
-	delete(p.waits, job)
 }
 
 // gangRun addresses the members of an attempt that this entry need not own.
