--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -43,6 +43,8 @@
 	mu      sync.Mutex
 	records map[string][][]byte
 	grown   chan struct{}
+	// first is the offset of the oldest record that is kept.
+	first int64
 	// refuse rejects appends, lose drops their responses, drop loses the appends too, and blind fails reads.
 	refuse, lose, drop, blind bool
 }
@@ -79,27 +81,27 @@
 	timeout := l.clock.After(wait)
 	for {
 		l.mu.Lock()
-		all, grown, blind := l.records[stream], l.grown, l.blind
+		all, first, grown, blind := l.records[stream], l.first, l.grown, l.blind
 		l.mu.Unlock()
 		if blind {
 			return platform.Page{}, errNoResponse
 		}
 		if from < int64(len(all)) {
-			return page(all, from, limit), nil
+			return page(all, first, from, limit), nil
 		}
 		select {
 		case <-grown:
 		case <-timeout:
-			return page(all, from, limit), nil
+			return page(all, first, from, limit), nil
 		case <-ctx.Done():
 			return platform.Page{}, ctx.Err()
 		}
 	}
 }
 
-func page(all [][]byte, from int64, limit int) platform.Page {
-	result := platform.Page{Next: int64(len(all))}
-	for at := from; at < result.Next && len(result.Records) < limit; at++ {
+func page(all [][]byte, first, from int64, limit int) platform.Page {
+	result := platform.Page{First: first, Next: int64(len(all))}
+	for at := max(from, first); at < result.Next && len(result.Records) < limit; at++ {
 		result.Records = append(result.Records, platform.Record{Offset: at, Data: all[at]})
 	}
 	return result
