Refuse a publish while the fold of the document stream is not exact

Cause: after the log's head was truncated, the fold holds publishes until a carry or a peer settles it. The operator of such a publish was told that it lost to another one, and it could take effect later. Change: publish waits up to settleTimeout for an exact fold and then refuses without an append. An empty log that never had a record counts as exact. A result counts only if the fold was exact. Conclusion: an operator is told that a publish lost only when it did.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -34,6 +34,9 @@
 // ErrUnknownOutcome marks a publish that may or may not be in the log.
 var ErrUnknownOutcome = errors.New("the log did not answer; the document may or may not have been published")
 
+// errInexact marks a publish that was not appended because this entry could not tell whether it would count.
+var errInexact = fmt.Errorf("the document in effect is not known for certain: %w", platform.ErrRejected)
+
 // LogService is the platform's append-only log.
 type LogService interface {
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
@@ -157,6 +160,9 @@
 	if _, err := document.Parse("document", []byte(record.GetText())); err != nil {
 		return 0, fmt.Errorf("check document: %w", err)
 	}
+	if err := d.awaitExact(ctx); err != nil {
+		return 0, err
+	}
 	record.Published = timestamppb.New(d.clock.Now())
 	offset, err := d.append(ctx, record)
 	if errors.Is(err, platform.ErrRejected) {
@@ -184,6 +190,31 @@
 	return offset, nil
 }
 
+// awaitExact waits until the fold can judge a publish. Without that the operator would be told that the publish lost,
+// and it could take effect once a carry or a peer settles the fold.
+func (d *documents) awaitExact(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	for {
+		changed := d.changes.changed()
+		if d.isExact() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("publish document: %w", errInexact)
+		case <-changed:
+		}
+	}
+}
+
+// isExact says whether the fold can judge a publish. An empty log that never had a record has nothing to miss.
+func (d *documents) isExact() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fold.Exact() || (d.next == 0 && !d.read.IsZero())
+}
+
 // awaitResult waits for the record at an offset, or for an equal record if the offset is unknown (-1).
 func (d *documents) awaitResult(ctx context.Context, offset int64, record *peerpb.DocumentRecord) (int64, error) {
 	for {
@@ -245,10 +276,11 @@
 	for _, record := range page.Records {
 		d.apply(record)
 	}
+	first := d.read.IsZero()
 	if d.next >= page.Next {
 		d.read = started
 	}
-	if len(page.Records) > 0 {
+	if len(page.Records) > 0 || first {
 		d.changes.notify()
 	}
 	return nil
@@ -263,8 +295,11 @@
 		return
 	}
 	result := d.fold.Apply(raw.Offset, record)
-	d.results[raw.Offset] = result
-	d.records[raw.Offset] = record
+	if d.fold.Exact() {
+		// A fold that is not exact may apply the record later.
+		d.results[raw.Offset] = result
+		d.records[raw.Offset] = record
+	}
 	d.forget(raw.Offset - readLimit)
 	if record.GetCarried() != 0 {
 		return
