Name a publish's own revision and ignore repeated document records

Cause: the result of a publish carried the fold's current revision, which is a later one if a peer has told of it. A record that the log returned again replaced its result with a void one and moved the next offset back. Change: apply sets the record's own revision and skips records below the next offset. Figures: TestDocumentsOffer got revision 3 instead of 1, TestDocumentsRepeatedPage a void result before; both pass now. Conclusion: an operator is told the revision of the own publish.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -287,6 +287,10 @@
 }
 
 func (d *documents) apply(raw platform.Record) {
+	if raw.Offset < d.next {
+		// A log may return records below the offset that was asked for.
+		return
+	}
 	d.next = raw.Offset + 1
 	record := &peerpb.DocumentRecord{}
 	if err := proto.Unmarshal(raw.Data, record); err != nil {
@@ -295,6 +299,10 @@
 		return
 	}
 	result := d.fold.Apply(raw.Offset, record)
+	if result.Applied && record.GetCarried() == 0 {
+		// The fold's revision may be that of a later publish, learned from a peer.
+		result.Revision = raw.Offset + 1
+	}
 	if d.fold.Exact() {
 		// A fold that is not exact may apply the record later.
 		d.results[raw.Offset] = result
