Don't change messages that other goroutines read

Cause: an adopter wrote its generation into the end that another entry had shared, while lookups read it, and recoverRequest wrote into the ledger's job. Change: the end is cloned. recoverRequest is only entered for non-idempotent jobs, which made its write needless. Figures: TestAdoptedSharedEnd saw the shared end change before and passes now; the write to the job was found by reading. Conclusion: messages of the ledger and of handovers stay as they were received.

--- a/entry/handovers.go
+++ b/entry/handovers.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"google.golang.org/protobuf/proto"
 
 	"radishpath.example/radishpath/peer/peerpb"
 )
@@ -92,6 +93,9 @@
 	if !ok {
 		return false
 	}
-	r.end(ctx, carry.GetEnd())
-	return true
+	end, ok := proto.Clone(carry.GetEnd()).(*peerpb.End)
+	if ok {
+		r.end(ctx, end)
+	}
+	return ok
 }
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -32,7 +32,7 @@
 
 // runRequest sends a request to one backend server after another until one ran it.
 func (r *runner) runRequest(ctx context.Context) {
-	if r.adopted && r.started {
+	if r.adopted && r.started && !r.job.GetIdempotent() {
 		r.recoverRequest(ctx)
 		return
 	}
@@ -224,7 +224,6 @@
 			}
 			result := r.query(ctx, view, nil)
 			if !result.refused {
-				r.job.Idempotent = false
 				r.settleServed(ctx, view, result)
 				return
 			}
