--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,15 @@
 SHELL := /bin/bash
 LINT := go tool -modfile=tools/go.mod golangci-lint
 
-.PHONY: build demo test lint generate bench proofs fmt
+.PHONY: build capacity demo test lint generate bench proofs fmt
 
 build:
 	go build -o bin/radishpath .
 	go build -o bin/standin ./standin
 
+capacity: build
+	go run ./capacity -bin bin -markdown
+
 demo: build
 	go run ./demo -bin bin
 
