--- a/Makefile
+++ b/Makefile
@@ -6,12 +6,15 @@
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 SKIP := $(if $(RED),-skip '$(RED)')
 
-.PHONY: build demo test lint generate bench proofs fmt
+.PHONY: build capacity demo test lint generate bench fmt
 
 build:
 	go build -o bin/radishpath .
 	go build -o bin/standin ./standin
 
+capacity: build
+	go run ./capacity -bin bin -markdown
+
 demo: build
 	go run ./demo -bin bin
 
