Get no traffic before the document is known

Cause: an entry was ready once it had read the job stream, also without a document; until then every caller's token looks invalid to it. In a trial of the chaos test, 1 of 824 jobs was answered 401 by an entry that had just started. Change: readiness also needs that the document stream was read to its end once, or a document from a peer. Measured: not yet measured after the change. Conclusion: a load balancer sends no caller to an entry that cannot check its token. Callers that ask an entry that is not ready are still answered 401 instead of 503; that check is in package caller.

--- a/entry/documents.go
+++ b/entry/documents.go
@@ -199,6 +199,13 @@
 	}
 }
 
+// isKnown says whether the stream was read to its end once or a peer sent a document. Without one every caller's token
+// looks invalid.
+func (d *documents) isKnown() bool {
+	revision, _ := d.current()
+	return revision > 0 || !d.lastRead().IsZero()
+}
+
 func (d *documents) outcome(result document.Result) (int64, error) {
 	if result.Applied {
 		return result.Revision, nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,7 +79,7 @@
 	switch {
 	case e.isLeaving():
 		return errLeaving
-	case !e.jobs.isCaughtUp():
+	case !e.jobs.isCaughtUp(), !e.documents.isKnown():
 		return errNotCaughtUp
 	default:
 		return nil
