Pause before an idempotent request is sent again after a lost answer

Cause: a server whose answers are never whole was called again at once, without a pause and without an end. Change: a lost answer pauses like a refusal.

--- a/entry/requests.go
+++ b/entry/requests.go
@@ -59,7 +59,7 @@
 		if r.settleServed(ctx, target, result) {
 			return
 		}
-		if !result.refused {
+		if !result.refused && !result.lost {
 			r.tries = 0
 		}
 	}
@@ -186,6 +186,8 @@
 		r.sleep(ctx)
 		return false
 	case result.lost && r.job.GetIdempotent():
+		r.setState(stateQueued, result.reason)
+		r.sleep(ctx)
 		return false
 	case result.lost:
 		r.end(ctx, &peerpb.End{
--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -238,3 +238,15 @@
 		})
 	}
 }
+
+// TestRequestBrokenAnswers guards against calling a server without a pause that never gives a whole answer.
+func TestRequestBrokenAnswers(t *testing.T) {
+	r := newRig(t)
+	agent := r.agent("w1", func(*peerpb.Request) *peerpb.Reply {
+		return serveReply(&peerpb.ServeReply{Answer: answerOf("other", "price")})
+	})
+	r.accept(testJob(func(job *peerpb.Job) { job.Idempotent = true }), "self")
+	r.until("the agent is called", func() bool { return agent.count(isServe) > 0 })
+	r.pass(2 * time.Second)
+	require.LessOrEqual(t, agent.count(isServe), 12)
+}
