--- a/entry/documents_test.go
+++ b/entry/documents_test.go
@@ -94,6 +94,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			log := newMemoryLog(clockwork.NewRealClock())
 			d := follow(t, log)
 			_, err := d.publish(t.Context(), publishRecord(0, "1"))
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -205,7 +205,8 @@
 func isStart(request *peerpb.Request) bool { return request.GetStart() != nil }
 func isHold(request *peerpb.Request) bool  { return request.GetHold() != nil }
 
-// rig is an entry with a fake clock, a memory log and fake agents; its periodic work does not run.
+// rig is an entry with a fake clock, a memory log and fake agents; its periodic work does not run. Only the test's own
+// goroutine moves the clock.
 type rig struct {
 	t      *testing.T
 	ctx    context.Context
@@ -217,6 +218,7 @@
 
 func newRig(t *testing.T) *rig {
 	t.Helper()
+	t.Parallel()
 	clock := clockwork.NewFakeClockAt(time.Unix(1000000, 0))
 	r := &rig{
 		t:     t,
