Don't take a reply of another kind for a denial

Cause: query read a reply without a QueryReply as one that says that the agent does not know the request, so the request was sent again. Change: such a reply is an error, and the agent is asked again. Conclusion: only a definite denial counts as not run.

--- a/entry/calls.go
+++ b/entry/calls.go
@@ -12,6 +12,9 @@
 // errNoPlacer marks that no entry is known to be the placer.
 var errNoPlacer = errors.New("no placer known")
 
+// errOtherKind marks a reply that does not answer the request; it says nothing about the job.
+var errOtherKind = errors.New("reply of another kind")
+
 // acknowledge lets an agent drop an answer. A lost acknowledgement is repeated when the agent reports again.
 func (e *Entry) acknowledge(
 	ctx context.Context, address, job string, attempt *peerpb.Attempt, member int32,
@@ -122,6 +125,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("query job %s: %w", job, err)
 	}
+	if reply.GetQuery() == nil {
+		return nil, fmt.Errorf("query job %s: %w", job, errOtherKind)
+	}
 	return reply.GetQuery(), nil
 }
 
--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -253,3 +253,20 @@
 	r.pass(2 * time.Second)
 	require.LessOrEqual(t, agent.count(isServe), 12)
 }
+
+// TestRequestCrossedQuery guards against taking a reply of another kind for a denial, which would run a request again.
+func TestRequestCrossedQuery(t *testing.T) {
+	r := newRig(t)
+	var agent *fakeAgent
+	agent = r.agent("w1", func(request *peerpb.Request) *peerpb.Reply {
+		if isServe(request) {
+			agent.lose()
+		}
+		return &peerpb.Reply{}
+	})
+	r.accept(testJob(nil), "self")
+	r.until("the agent is asked", func() bool { return agent.count(isQuery) > 3 })
+	r.pass(time.Second)
+	require.Equal(t, 1, agent.count(isServe))
+	require.Nil(t, r.state().End)
+}
