Keep a reservation that is made between two polls of its owner

Cause: the reply was put into a wait that was dropped at once. The owner's next poll made the placer give the place back and hold it again, while the first hold stayed until its limit. Change: a wait stays until its owner has taken the reply; answer and take serve all replies. Figures: TestPlacerReplyBetweenPolls counted 2 holds before and 1 now. Conclusion: a reservation that is ready is given to the owner's next poll.

--- a/entry/placer.go
+++ b/entry/placer.go
@@ -31,6 +31,14 @@
 	reserving bool
 }
 
+// answer gives the owner a reply, now or when it asks next. Only the first one counts.
+func (w *placeWait) answer(reply *peerpb.PlaceReply) {
+	select {
+	case w.result <- reply:
+	default:
+	}
+}
+
 // placedJob is a job that the scheduler has placed.
 type placedJob struct {
 	attempt *peerpb.Attempt
@@ -115,9 +123,9 @@
 	}
 	if wait, ok := p.waits[job]; ok && wait.reserving {
 		// The reservation in progress is for an attempt that ended.
-		wait.result <- &peerpb.PlaceReply{
+		wait.answer(&peerpb.PlaceReply{
 			Reasons: []string{"the attempt was superseded"},
-		}
+		})
 		delete(p.waits, job)
 	}
 	if !forget.GetOk() && !forget.GetAgain() {
@@ -143,12 +151,14 @@
 	p.kick()
 	select {
 	case reply = <-wait.result:
+		p.take(wait)
 		return reply
 	case <-ctx.Done():
 	case <-p.entry.config.Clock.After(request.GetWait().AsDuration()):
 	}
 	select {
 	case reply = <-wait.result:
+		p.take(wait)
 		return reply
 	default:
 	}
@@ -157,6 +167,15 @@
 	}
 }
 
+// take drops a wait whose owner got its reply.
+func (p *placer) take(wait *placeWait) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if job := wait.request.GetJob().GetId(); p.waits[job] == wait {
+		delete(p.waits, job)
+	}
+}
+
 // enqueue submits the job unless it is queued already; a reply says that there is nothing to wait for.
 func (p *placer) enqueue(request *peerpb.Place) (*placeWait, *peerpb.PlaceReply) {
 	p.mu.Lock()
@@ -248,10 +267,10 @@
 	case placement.Refuse:
 		p.write(decided, wait)
 		if wait != nil {
-			wait.result <- &peerpb.PlaceReply{
+			wait.answer(&peerpb.PlaceReply{
 				Impossible: true,
 				Reasons:    decided.Reasons,
-			}
+			})
 			delete(p.waits, decided.Job)
 		}
 	case placement.Wait:
@@ -350,15 +369,15 @@
 	if p.scheduler == nil || p.waits[job] != wait {
 		return
 	}
-	delete(p.waits, job)
 	if refusal != "" {
+		delete(p.waits, job)
 		// The owner's next attempt number supersedes what an agent may still hold of this one.
 		p.endLocked(&peerpb.Forget{
 			Job:    job,
 			Reason: refusal,
 		})
 	}
-	wait.result <- reply
+	wait.answer(reply)
 }
 
 // gangRun addresses the members of an attempt that this entry need not own.
--- a/entry/placer_test.go
+++ b/entry/placer_test.go
@@ -174,3 +174,16 @@
 		})
 	}
 }
+
+// TestPlacerReplyBetweenPolls guards against losing a reservation that is made between two polls of its owner.
+func TestPlacerReplyBetweenPolls(t *testing.T) {
+	p := newPlacerRig(t, "w1")
+	p.gate.Add(1)
+	first := p.place("j", 1, 50*time.Millisecond)
+	p.until("the hold is asked for", func() bool { return p.agents[0].count(isHold) > 0 })
+	require.Nil(t, p.await(first).GetReservation())
+	p.gate.Done()
+	p.pass(300 * time.Millisecond)
+	require.NotNil(t, p.await(p.place("j", 1, 30*time.Second)).GetReservation())
+	require.Equal(t, 1, p.agents[0].count(isHold), "the reservation is kept for the next poll")
+}
--- a/entry/placersync.go
+++ b/entry/placersync.go
@@ -33,12 +33,9 @@
 // stop answers the waiting owners, who then ask the new placer.
 func (p *placer) stop() {
 	for _, wait := range p.waits {
-		select {
-		case wait.result <- &peerpb.PlaceReply{
+		wait.answer(&peerpb.PlaceReply{
 			Reasons: []string{"this entry is no longer the placer"},
-		}:
-		default:
-		}
+		})
 	}
 	p.scheduler = nil
 	p.waits = nil
