--- a/entry/placer.go
+++ b/entry/placer.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/types/known/durationpb"
-
 	"radishpath.example/radishpath/peer/peerpb"
 	"radishpath.example/radishpath/placement"
 )
@@ -31,6 +29,14 @@
 	reserving bool
 }
 
+// answer gives the owner a reply, now or when it asks next. Only the first one counts.
+func (w *placeWait) answer(reply *peerpb.PlaceReply) {
+	select {
+	case w.result <- reply:
+	default:
+	}
+}
+
 // placedJob is a job that the scheduler has placed.
 type placedJob struct {
 	attempt *peerpb.Attempt
@@ -119,9 +125,9 @@
 	}
 	if wait, ok := p.waits[job]; ok && wait.reserving {
 		// The reservation in progress is for an attempt that ended.
-		wait.result <- &peerpb.PlaceReply{
+		wait.answer(&peerpb.PlaceReply{
 			Reasons: []string{"the attempt was superseded"},
-		}
+		})
 		delete(p.waits, job)
 	}
 	if !forget.GetOk() && !forget.GetAgain() {
@@ -147,12 +153,14 @@
 	p.kick()
 	select {
 	case reply = <-wait.result:
+		p.take(wait)
 		return reply
 	case <-ctx.Done():
 	case <-p.entry.config.Clock.After(request.GetWait().AsDuration()):
 	}
 	select {
 	case reply = <-wait.result:
+		p.take(wait)
 		return reply
 	default:
 	}
@@ -161,6 +169,15 @@
 	}
 }
 
+// take drops a wait whose owner got its reply.
+func (p *placer) take(wait *placeWait) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if job := wait.request.GetJob().GetId(); p.waits[job] == wait {
+		delete(p.waits, job)
+	}
+}
+
 // enqueue submits the job unless it is queued already; a reply says that there is nothing to wait for.
 func (p *placer) enqueue(request *peerpb.Place) (*placeWait, *peerpb.PlaceReply) {
 	p.mu.Lock()
@@ -251,10 +268,10 @@
 	case placement.Refuse:
 		p.write(decided, wait)
 		if wait != nil {
-			wait.result <- &peerpb.PlaceReply{
+			wait.answer(&peerpb.PlaceReply{
 				Impossible: true,
 				Reasons:    decided.Reasons,
-			}
+			})
 			delete(p.waits, decided.Job)
 		}
 	case placement.Wait:
@@ -315,83 +332,6 @@
 	return members, true
 }
 
-// reserve holds every member and answers the owner, or gives all back.
-func (p *placer) reserve(ctx context.Context, wait *placeWait, reservation *peerpb.Reservation) {
-	job := wait.request.GetJob()
-	run := p.gangRun(job.GetId(), reservation.GetAttempt(), reservation.GetMembers())
-	result := run.all(ctx, func(ctx context.Context, member int32, at *peerpb.Member) (bool, string) {
-		verdict, err := p.entry.verdict(ctx, at.GetAddress(), &peerpb.Request{
-			Kind: &peerpb.Request_Hold{
-				Hold: &peerpb.Hold{
-					Term:         reservation.GetTerm(),
-					Job:          job,
-					Attempt:      reservation.GetAttempt(),
-					Member:       member,
-					Accelerators: at.GetAccelerators(),
-					Limit:        durationpb.New(holdLimit),
-				},
-			},
-		})
-		ok, refusal := judge(verdict, err)
-		if !ok {
-			p.suspect(at.GetAgent())
-		}
-		return ok, refusal
-	})
-	reply := &peerpb.PlaceReply{
-		Reservation: reservation,
-	}
-	if result.first != "" {
-		p.entry.logger.Info("reservation failed", "job", job.GetId(), "reason", result.first)
-		run.release(ctx, false)
-		reply = &peerpb.PlaceReply{
-			Reasons: []string{"reservation failed: " + result.first},
-		}
-	}
-	p.finishReserve(wait, reply, result.first)
-}
-
-func (p *placer) finishReserve(wait *placeWait, reply *peerpb.PlaceReply, refusal string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	job := wait.request.GetJob().GetId()
-	if p.scheduler == nil || p.waits[job] != wait {
-		return
-	}
-	delete(p.waits, job)
-	if refusal != "" {
-		// The owner's next attempt number supersedes what an agent may still hold of this one.
-		p.endLocked(&peerpb.Forget{
-			Job:    job,
-			Reason: refusal,
-		})
-	}
-	wait.result <- reply
-}
-
-// gangRun addresses the members of an attempt that this entry need not own.
-func (p *placer) gangRun(job string, attempt *peerpb.Attempt, members []*peerpb.Member) *gangRun {
-	return &gangRun{
-		runner: &runner{
-			entry: p.entry,
-			job: &peerpb.Job{
-				Id: job,
-			},
-		},
-		attempt: attempt,
-		members: members,
-	}
-}
-
-// suspect keeps new work away from an agent until it announces itself again.
-func (p *placer) suspect(agent string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.scheduler != nil {
-		p.suspects[agent] = p.entry.config.Clock.Now()
-	}
-}
-
 // write records a decision.
 func (p *placer) write(decided placement.Decision, wait *placeWait) {
 	line := decision{
