Bound an idempotent request's wait for the log by 2 s; satisfy the linter

Cause: an idempotent request waited up to 5 s for its accept record when the log had just become unavailable. Change: 2 s, the limit of an append; lines and a comparison of the proofs changed for the linter, as strict as before.

--- a/bench/main.go
+++ b/bench/main.go
@@ -29,7 +29,8 @@
 // requests prints how small requests fare beside large ones, by the router and by two baselines.
 func requests(w io.Writer) {
 	arrivals := replay.Requests(1)
-	routed, fifo, turns := replay.RouteRequests(arrivals), replay.FIFORequests(arrivals), replay.RoundRobinRequests(arrivals)
+	routed, fifo := replay.RouteRequests(arrivals), replay.FIFORequests(arrivals)
+	turns := replay.RoundRobinRequests(arrivals)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprint(table, "\nrequests, 11 servers of 8 slots\trouter\tFIFO\tround robin\ttarget\treached\n")
 	for _, r := range []struct {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -57,6 +57,9 @@
 // accept appends the accept record. An idempotent request does not wait long for a log that is unavailable.
 func (e *Entry) accept(ctx context.Context, job *peerpb.Job) error {
 	timeout := acceptTimeout
+	if job.GetIdempotent() && isRequest(job) {
+		timeout = appendTimeout
+	}
 	if job.GetIdempotent() && isRequest(job) && !e.jobs.isReadable() {
 		timeout = directTimeout
 	}
--- a/proof/answers_test.go
+++ b/proof/answers_test.go
@@ -96,7 +96,7 @@
 			// An idempotent request may have run before; its answer is that of one of its runs.
 			require.Regexp(t, "^"+job.submission.ID+" [0-9]+$", job.last.Answer)
 		} else {
-			require.True(t, job.expected == job.last.Answer, "%s got %d bytes of %d: %.100q", job.submission.ID,
+			require.Zero(t, strings.Compare(job.expected, job.last.Answer), "%s got %d bytes of %d: %.100q", job.submission.ID,
 				len(job.last.Answer), len(job.expected), job.last.Answer)
 		}
 		for entry := range l.suite.cluster.Entries {
--- a/proof/suite_test.go
+++ b/proof/suite_test.go
@@ -109,8 +109,8 @@
 	})
 }
 
-// publish publishes through an entry and waits until the document is in effect everywhere. It returns the revision.
-func (s *suite) publish(entry int, text string) int64 {
+// publish publishes through an entry and waits until the document is in effect everywhere.
+func (s *suite) publish(entry int, text string) {
 	s.t.Helper()
 	admin := s.admin(entry)
 	current, err := admin.Document(s.t.Context())
@@ -125,7 +125,6 @@
 		status, statusErr := admin.Status(s.t.Context(), result.Revision)
 		return statusErr == nil && status.Effect
 	}, "document in effect")
-	return result.Revision
 }
 
 // await waits until a condition holds.
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -89,7 +89,7 @@
 		want  string
 	}{
 		{name: "full here, free in another zone", local: server("a", 8, 7), other: far, want: "b"},
-		{name: "full of short work here, free with long work there", local: server("a", 8, 0), other: server("b", 7, 7), want: "b"},
+		{name: "full here, free beside long work", local: server("a", 8, 0), other: server("b", 7, 7), want: "b"},
 		{name: "both full", local: server("a", 9, 7), other: server("b", 9, 0), want: "b"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
