--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -294,3 +294,15 @@
 	}
 	return fmt.Sprint(response.StatusCode, " ", string(data))
 }
+
+// TestNotReady guards against a caller whose token is called wrong by an entry that has no document yet, and against a
+// leaving entry that refuses valid tokens.
+func TestNotReady(t *testing.T) {
+	config := newConfig()
+	config.Ready = func() error { return errors.New("no document yet") }
+	handler := NewServer(config).Handler()
+	code, body := call(t, handler, http.MethodGet, "/v1/jobs/a", "other", "")
+	require.Equal(t, http.StatusServiceUnavailable, code, body)
+	code, body = call(t, handler, http.MethodGet, "/v1/jobs/a", "secret", "")
+	require.Equal(t, http.StatusAccepted, code, body)
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -193,6 +193,11 @@
 		if ok {
 			workspace, ok = s.config.Authenticate(token)
 		}
+		if err := s.config.Ready(); !ok && err != nil {
+			// Without a document the entry knows no token.
+			s.refuse(w, http.StatusServiceUnavailable, "", "not ready, nothing was accepted: "+err.Error())
+			return
+		}
 		if !ok {
 			s.config.Logger.Warn("call without a valid token", "remote", r.RemoteAddr, "method", r.Method, "path", r.URL.Path)
 			w.Header().Set("WWW-Authenticate", "Bearer")
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -83,7 +83,7 @@
 			Reason:   stale.Reason,
 		}, nil
 	case errors.Is(err, platform.ErrRejected):
-		return operator.PublishResult{}, fmt.Errorf("nothing was published: %w", err)
+		return operator.PublishResult{}, fmt.Errorf("%w: %w", operator.ErrNotPublished, err)
 	case err != nil:
 		return operator.PublishResult{}, err
 	}
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -1,11 +1,15 @@
 package operator
 
 import (
+	"errors"
 	"fmt"
 
 	"radishpath.example/radishpath/document"
 )
 
+// ErrNotPublished marks a publish that the platform's log refused; nothing was published.
+var ErrNotPublished = errors.New("the platform's log refused the document; nothing was published")
+
 // ConflictError says that another publish came first; nothing was published.
 type ConflictError struct {
 	Reason  string
--- a/operator/handlers.go
+++ b/operator/handlers.go
@@ -137,6 +137,13 @@
 		return
 	}
 	result, err := s.config.Publish(r.Context(), request)
+	if errors.Is(err, ErrNotPublished) {
+		s.config.Logger.Warn("publish refused", "author", request.Author, "base", request.Base, "error", err)
+		reply(w, http.StatusFailedDependency, problem{
+			Error: err.Error(),
+		})
+		return
+	}
 	if err != nil {
 		s.config.Logger.Error("publish: outcome unknown", "author", request.Author, "base", request.Base, "error", err)
 		reply(w, http.StatusServiceUnavailable, problem{
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -159,6 +160,23 @@
 	require.ErrorContains(t, err, "the outcome is unknown")
 }
 
+// TestPublishRefused guards against an operator who is told that a publish may have happened although the log refused
+// it.
+func TestPublishRefused(t *testing.T) {
+	address, _, _ := newServer(t, func(config *ServerConfig) {
+		config.Publish = func(context.Context, PublishRequest) (PublishResult, error) {
+			return PublishResult{}, fmt.Errorf("%w: status 503", ErrNotPublished)
+		}
+	})
+	_, err := newTestClient(address).Publish(t.Context(), PublishRequest{
+		Text: "[zone \"z\"]\n",
+	})
+	var status *StatusError
+	require.ErrorAs(t, err, &status)
+	require.Equal(t, http.StatusFailedDependency, status.Code)
+	require.Contains(t, status.Reason, "nothing was published")
+}
+
 // TestTokens guards against routes that answer without a valid token, or whose answer tells an existing path from
 // another one.
 func TestTokens(t *testing.T) {
--- a/operator/server.go
+++ b/operator/server.go
@@ -48,7 +48,8 @@
 	// History returns the latest publishes, the newest first; Revision one of them.
 	History  func() []Revision
 	Revision func(revision int64) (Revision, bool)
-	// Publish appends a checked text and reads its outcome back. An error means that the outcome is unknown.
+	// Publish appends a checked text and reads its outcome back. An error that wraps ErrNotPublished means that nothing
+	// was published; after any other the outcome is unknown.
 	Publish    func(ctx context.Context, request PublishRequest) (PublishResult, error)
 	Workers    func() []Worker
 	Workspaces func() []Workspace
