Bound a task's lease by the age of the gang's oldest liveness signal

Cause: a renewal that hangs counts as overdue only after 1 s, so the other members of a gang took the signal of a member whose worker was cut off for up to 1 s younger than it was, and ended up to that much late. Change: a renewed lease ends at most 3 s after the oldest signal known.

--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -17,6 +17,9 @@
 	startLease = time.Second
 	// taskLease ends a task whose agent or gang is gone.
 	taskLease = 2 * time.Second
+	// leaseHorizon bounds a lease's end by the gang's oldest liveness signal. A worker that hangs beside a live agent is
+	// noticed up to 1 s late; with this bound the other members still end within 4.5 s.
+	leaseHorizon = 3 * time.Second
 	// workerTimeout bounds one call to the worker.
 	workerTimeout = time.Second
 	// leaseMargin covers the worker's clock running slower than the agent's while a start's outcome is unknown.
@@ -352,7 +355,8 @@
 		return
 	}
 	asked := t.clock.Now()
-	err := t.lease(ctx, running.key.taskID(), taskLease)
+	age, _ := running.member.watch.Age()
+	err := t.lease(ctx, running.key.taskID(), min(taskLease, max(leaseHorizon-age, leaseHorizon-taskLease)))
 	running.member.watch.Renewed(asked, err == nil)
 	if err != nil && ctx.Err() == nil {
 		t.journal.logger.Warn("renew task lease", "task", running.key.taskID(), "error", err)
