--- a/entry/upkeep.go
+++ b/entry/upkeep.go
@@ -73,26 +73,26 @@
 // under this entry's name, and another entry adopts them once the log is back.
 func (e *Entry) handOver(ctx context.Context) {
 	now := e.config.Clock.Now()
-	heir := ""
+	successor := ""
 	for _, id := range e.terms.order(e.aliveEntries(now)) {
 		if id != e.config.ID {
-			heir = id
+			successor = id
 			break
 		}
 	}
-	if heir == "" {
+	if successor == "" {
 		return
 	}
 	var records []*peerpb.Record
 	for _, state := range e.jobs.ledger.Live(e.config.ID) {
-		records = append(records, adoptRecord(state.Job.GetId(), state.Generation, heir))
+		records = append(records, adoptRecord(state.Job.GetId(), state.Generation, successor))
 	}
 	if len(records) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	e.logger.Info("hand jobs over", "count", len(records), "entry", heir)
+	e.logger.Info("hand jobs over", "count", len(records), "entry", successor)
 	if _, err := e.jobs.writer.Submit(ctx, records...); err != nil {
 		e.logger.Warn("hand jobs over", "error", err)
 	}
