Ask for a long idempotent request instead of running it again

Cause: since idempotent requests are served elsewhere when their call breaks, one that ran longer than the 10 s of a call was taken for lost and run again without end. Found by reading. Change: only a broken or silent call is given up; a call that reached its limit is followed by queries.

--- a/entry/requests.go
+++ b/entry/requests.go
@@ -127,7 +127,7 @@
 			reason:  err.Error(),
 		}
 	}
-	if err != nil && r.job.GetIdempotent() {
+	if err != nil && r.job.GetIdempotent() && !errors.Is(err, context.DeadlineExceeded) {
 		return served{
 			lost:   true,
 			reason: err.Error(),
@@ -207,6 +207,11 @@
 		}
 		reply, err := r.entry.query(ctx, view.address, r.job.GetId(), attempt)
 		switch {
+		case err != nil && r.job.GetIdempotent() && r.entry.config.Clock.Since(view.heard) > stalledAfter:
+			return served{
+				lost:   true,
+				reason: fmt.Sprintf("agent %s is silent", target.id),
+			}
 		case err != nil:
 		case !reply.GetKnown() && denied.IsZero():
 			denied = r.entry.config.Clock.Now()
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -16,6 +16,12 @@
 func TestPath(t *testing.T) {
 	t.Parallel()
 	s := newSuite(t, 4, harness.ClusterConfig{})
+	// The banquet costing takes longer than the 10 s of one call between entry and agent.
+	s.submit(0, "banquets", callerclient.Submission{
+		ID:         "costing",
+		Idempotent: true,
+		Payload:    work(12*time.Second, ""),
+	}, 0)
 	for entry := range s.cluster.Entries {
 		id := fmt.Sprintf("quote-%d", entry)
 		quote := s.submit(entry, "weddings", callerclient.Submission{
@@ -59,6 +65,7 @@
 	_, err := s.caller(2, "banquets").Cancel(t.Context(), "long")
 	require.NoError(t, err)
 	require.Equal(t, "cancelled", s.awaitEnd(1, "banquets", "long", few).State)
+	require.Equal(t, "costing 1", s.awaitEnd(1, "banquets", "costing", 4*few).Answer)
 	events := s.harness.Events()
 	require.NoError(t, harness.NotRun(events, map[string]bool{
 		"never-0": true,
