Ask every announced agent for an adopted request before calling it lost

Cause: an adopted non-idempotent request ended as lost after 10 s although an announced agent that had not answered yet may hold its answer. Change: it ends as lost only when every announced agent has answered; one that is gone is not announced. Measured: TestRequestAdoptedLater ended as lost before and as done after.

--- a/entry/requests.go
+++ b/entry/requests.go
@@ -270,18 +270,16 @@
 	r.setState(stateRunning, "looks for the backend server that ran it")
 	deadline := r.entry.config.Clock.Now().Add(agentGone)
 	for ctx.Err() == nil {
-		for _, view := range r.entry.fleet.list() {
-			reply, err := r.entry.query(ctx, view.address, r.job.GetId(), nil)
-			if err != nil || !reply.GetKnown() {
-				continue
-			}
-			result := r.query(ctx, view, nil)
+		holder, complete := r.findHolder(ctx)
+		if holder.id != "" {
+			result := r.query(ctx, holder, nil)
 			if !result.refused {
-				r.settleServed(ctx, view, result)
+				r.settleServed(ctx, holder, result)
 				return
 			}
 		}
-		if r.entry.config.Clock.Now().After(deadline) {
+		// An agent that does not answer may hold the request until it is gone.
+		if complete && r.entry.config.Clock.Now().After(deadline) {
 			r.end(ctx, &peerpb.End{
 				Outcome: peerpb.Outcome_OUTCOME_LOST,
 				Reasons: []string{"its entry and its backend server are gone; the request may have run"},
@@ -292,6 +290,22 @@
 	}
 }
 
+// findHolder asks every announced agent for the request. complete says that all of them answered.
+func (r *runner) findHolder(ctx context.Context) (holder agentView, complete bool) {
+	complete = true
+	for _, view := range r.entry.fleet.list() {
+		reply, err := r.entry.query(ctx, view.address, r.job.GetId(), nil)
+		if err != nil {
+			complete = false
+			continue
+		}
+		if reply.GetKnown() {
+			return view, complete
+		}
+	}
+	return agentView{}, complete
+}
+
 // checkAnswer says whether an answer is whole and belongs to the job.
 func checkAnswer(job string, answer *peerpb.Answer) error {
 	switch {
--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -175,6 +175,30 @@
 	}
 }
 
+// TestRequestAdoptedLater guards against a request that is called lost while an announced agent, which may hold its
+// answer, does not answer yet.
+func TestRequestAdoptedLater(t *testing.T) {
+	r := newRig(t)
+	begin := r.clock.Now()
+	r.agent("w1", func(request *peerpb.Request) *peerpb.Reply {
+		switch {
+		case !isQuery(request):
+			return nil
+		case r.clock.Since(begin) < agentGone+2*time.Second:
+			return &peerpb.Reply{Error: "still reading the backend server's requests"}
+		default:
+			return queryReply(&peerpb.QueryReply{
+				Known: true, Result: &peerpb.ServeReply{Answer: answerOf("j", "price")},
+			})
+		}
+	})
+	r.accept(testJob(nil), "other")
+	generation := r.state().Generation
+	r.record(startRecord("j", generation))
+	r.record(adoptRecord("j", generation, "self"))
+	require.Equal(t, peerpb.Outcome_OUTCOME_DONE, r.outcome().GetOutcome())
+}
+
 func startRecord(job string, generation int64) *peerpb.Record {
 	return &peerpb.Record{Kind: &peerpb.Record_Start{Start: &peerpb.Start{Job: job, Generation: generation}}}
 }
