--- a/entry/finish_test.go
+++ b/entry/finish_test.go
@@ -99,7 +99,7 @@
 			r.accept(job, "elsewhere")
 			generation := r.state().Generation
 			if test.started {
-				r.record(startRecord("j", generation))
+				r.record(startRecord(generation))
 			}
 			go r.entry.finish(r.ctx, job, &peerpb.End{
 				Job: "j", Generation: generation, Outcome: peerpb.Outcome_OUTCOME_REFUSED, NeverStarted: true,
--- a/entry/gangs_test.go
+++ b/entry/gangs_test.go
@@ -277,7 +277,7 @@
 			g := newGangRig(t, "w1", "w2")
 			g.accept(gangJob(2, nil), "other")
 			generation := g.state().Generation
-			g.record(startRecord("j", generation))
+			g.record(startRecord(generation))
 			attempt := &peerpb.Attempt{Generation: generation, Count: 4}
 			for at, member := range test.announced {
 				g.agents[at].update(func(announce *peerpb.Announce) {
--- a/entry/requests_test.go
+++ b/entry/requests_test.go
@@ -168,7 +168,7 @@
 			}
 			r.accept(testJob(nil), "other")
 			generation := r.state().Generation
-			r.record(startRecord("j", generation))
+			r.record(startRecord(generation))
 			r.record(adoptRecord("j", generation, "self"))
 			require.Equal(t, test.outcome, r.outcome().GetOutcome())
 		})
@@ -194,13 +194,13 @@
 	})
 	r.accept(testJob(nil), "other")
 	generation := r.state().Generation
-	r.record(startRecord("j", generation))
+	r.record(startRecord(generation))
 	r.record(adoptRecord("j", generation, "self"))
 	require.Equal(t, peerpb.Outcome_OUTCOME_DONE, r.outcome().GetOutcome())
 }
 
-func startRecord(job string, generation int64) *peerpb.Record {
-	return &peerpb.Record{Kind: &peerpb.Record_Start{Start: &peerpb.Start{Job: job, Generation: generation}}}
+func startRecord(generation int64) *peerpb.Record {
+	return &peerpb.Record{Kind: &peerpb.Record_Start{Start: &peerpb.Start{Job: "j", Generation: generation}}}
 }
 
 // TestRequestSuperseded guards against running a request whose start is void because another entry owns it.
