Let one piece of code serve where two stood

Cause: a read of the whole change. The demo and the capacity program had a copy each of the harness's test stand-in; the gang's release and evict differed in the limit only; three placements on occupied accelerators searched with the same lines; publish and accept of the proofs published alike; a parameter of pick was unused. Change: harness.Program, gangRun.release with a limit, Scheduler.findEvicting and claimEvicting; no change of behaviour.

--- a/capacity/deployment.go
+++ b/capacity/deployment.go
@@ -38,7 +38,7 @@
 	}
 	return s.await("entries know all agents", func() (bool, error) {
 		for entry := range s.cluster.Entries {
-			workers, err := s.admin(entry).Workers(s.ctx)
+			workers, err := s.admin(entry).Workers(s.Context())
 			if err != nil || len(workers) < size {
 				return false, err
 			}
@@ -56,7 +56,7 @@
 	for worker := range size {
 		config.Workers = append(config.Workers, workerConfig(worker))
 	}
-	s.cluster = harness.New(s.runner, harness.Config{
+	s.cluster = harness.New(s.Program, harness.Config{
 		Clock:    s.clock,
 		Binaries: s.bin,
 	}).StartCluster(config)
@@ -87,7 +87,7 @@
 	const pageRecords = 1000
 	fold := ledger.New()
 	for {
-		page, err := s.cluster.Log.Client.Read(s.ctx, jobStream, fold.Next(), pageRecords, 0)
+		page, err := s.cluster.Log.Client.Read(s.Context(), jobStream, fold.Next(), pageRecords, 0)
 		if err != nil {
 			return fmt.Errorf("read claim: %w", err)
 		}
--- a/capacity/documents.go
+++ b/capacity/documents.go
@@ -33,11 +33,11 @@
 
 // publish publishes a text over the current revision.
 func (s *study) publish(client *operator.Client, text string) error {
-	current, err := client.Document(s.ctx)
+	current, err := client.Document(s.Context())
 	if err != nil {
 		return fmt.Errorf("read document: %w", err)
 	}
-	result, err := client.Publish(s.ctx, operator.PublishRequest{
+	result, err := client.Publish(s.Context(), operator.PublishRequest{
 		Base: current.Revision,
 		Text: text,
 	})
--- a/capacity/gangs.go
+++ b/capacity/gangs.go
@@ -37,7 +37,7 @@
 	client := s.client(s.nonPlacer())
 	id := fmt.Sprintf("gang-%d-%d", members, accelerators)
 	begun := s.clock.Now()
-	if _, err := client.Submit(s.ctx, callerclient.Submission{
+	if _, err := client.Submit(s.Context(), callerclient.Submission{
 		ID:           id,
 		Idempotent:   true,
 		Members:      members,
@@ -52,7 +52,7 @@
 		parts, running, err = s.membersOf(id, members)
 		return running, err
 	}); err != nil {
-		job, _ := client.Status(s.ctx, id, 0)
+		job, _ := client.Status(s.Context(), id, 0)
 		return fmt.Errorf("%w: %s %q, placer %q", err, job.State, job.Reasons, s.placer)
 	}
 	table.add(x, "caller", "time to the last start, s", s.clock.Since(begun).Seconds())
@@ -65,7 +65,7 @@
 	}
 	delete(roles, roleAgent)
 	table.addUsage(x, roles)
-	if _, err = client.Cancel(s.ctx, id); err != nil {
+	if _, err = client.Cancel(s.Context(), id); err != nil {
 		return fmt.Errorf("cancel %s: %w", id, err)
 	}
 	return s.await(id+" has ended", func() (bool, error) {
@@ -79,7 +79,7 @@
 	parts := map[string]role{}
 	running := 0
 	for i, worker := range s.workers {
-		tasks, err := worker.Tasks(s.ctx)
+		tasks, err := worker.Tasks(s.Context())
 		if err != nil {
 			return nil, false, fmt.Errorf("read tasks: %w", err)
 		}
--- a/capacity/main.go
+++ b/capacity/main.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"radishpath.example/radishpath/proof/harness"
 )
 
 // runLimit leaves 12 s of the 120 s to end the processes on a busy machine.
@@ -48,12 +50,12 @@
 	clock := clockwork.NewRealClock()
 	ctx, cancel := context.WithTimeout(ctx, runLimit)
 	defer cancel()
-	study := newStudy(&runner{ctx: ctx}, clock, *bin, *window)
+	study := newStudy(harness.NewProgram(ctx, "capacity"), clock, *bin, *window)
 	started := clock.Now()
 	before := loadAverage()
-	err = study.play(counts)
+	err = study.Run(func() error { return study.play(counts) })
 	after := loadAverage()
-	study.close()
+	study.Close()
 	_, _ = fmt.Printf("sizes %s, window %s, load average %s before and %s after, %s in all\n\n", *sizes, *window, before,
 		after, clock.Since(started).Round(time.Second))
 	for _, s := range study.series {
--- a/capacity/publishes.go
+++ b/capacity/publishes.go
@@ -79,11 +79,11 @@
 
 func (s *study) awaitEffect(client *operator.Client) error {
 	return s.await("document in effect", func() (bool, error) {
-		current, err := client.Document(s.ctx)
+		current, err := client.Document(s.Context())
 		if err != nil {
 			return false, fmt.Errorf("read document: %w", err)
 		}
-		status, err := client.Status(s.ctx, current.Revision)
+		status, err := client.Status(s.Context(), current.Revision)
 		return status.Effect, err
 	})
 }
--- a/capacity/requests.go
+++ b/capacity/requests.go
@@ -122,7 +122,7 @@
 		calls.Go(func() {
 			defer func() { <-slots }()
 			sent := s.clock.Now()
-			job, err := client.Submit(s.ctx, callerclient.Submission{
+			job, err := client.Submit(s.Context(), callerclient.Submission{
 				ID:         fmt.Sprintf("%s-%d", prefix, request),
 				Idempotent: idempotent,
 				Payload:    json.RawMessage(`{"work":"1ms","answer":"42"}`),
@@ -139,7 +139,7 @@
 
 // logEnd returns the offset after the last record of the job stream.
 func (s *study) logEnd() (int64, error) {
-	page, err := s.cluster.Log.Client.Read(s.ctx, jobStream, 0, 1, 0)
+	page, err := s.cluster.Log.Client.Read(s.Context(), jobStream, 0, 1, 0)
 	if err != nil {
 		return 0, fmt.Errorf("read job stream: %w", err)
 	}
@@ -150,7 +150,7 @@
 func (s *study) records(from int64) (batches, records int, err error) {
 	const pageRecords = 1000
 	for {
-		page, readErr := s.cluster.Log.Client.Read(s.ctx, jobStream, from, pageRecords, 0)
+		page, readErr := s.cluster.Log.Client.Read(s.Context(), jobStream, from, pageRecords, 0)
 		if readErr != nil {
 			return 0, 0, fmt.Errorf("read job stream: %w", readErr)
 		}
--- a/capacity/study.go
+++ b/capacity/study.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -24,7 +23,7 @@
 
 // study is one deployment that grows, and what was measured on it.
 type study struct {
-	*runner
+	*harness.Program
 	clock   clockwork.Clock
 	bin     string
 	window  time.Duration
@@ -39,28 +38,19 @@
 	last map[string]usage
 }
 
-func newStudy(r *runner, clock clockwork.Clock, bin string, window time.Duration) *study {
+func newStudy(p *harness.Program, clock clockwork.Clock, bin string, window time.Duration) *study {
 	return &study{
-		runner: r,
-		clock:  clock,
-		bin:    bin,
-		window: window,
-		meter:  newMeter(clock),
+		Program: p,
+		clock:   clock,
+		bin:     bin,
+		window:  window,
+		meter:   newMeter(clock),
 	}
 }
 
 // play grows the deployment and measures.
-func (s *study) play(sizes []int) (err error) {
-	defer func() {
-		if failure := recover(); failure != nil {
-			stopped, ok := failure.(error)
-			if !ok || !errors.Is(stopped, errStopped) {
-				panic(failure)
-			}
-			err = stopped
-		}
-	}()
-	if err = s.sizes(sizes); err != nil {
+func (s *study) play(sizes []int) error {
+	if err := s.sizes(sizes); err != nil {
 		return err
 	}
 	largest := sizes[len(sizes)-1]
@@ -81,7 +71,7 @@
 			run:  s.publishes,
 		},
 	} {
-		if err = part.run(); err != nil {
+		if err := part.run(); err != nil {
 			return fmt.Errorf("measure %s: %w", part.name, err)
 		}
 	}
@@ -167,8 +157,8 @@
 // sleep waits, or says that the time is over.
 func (s *study) sleep(d time.Duration) error {
 	select {
-	case <-s.ctx.Done():
-		return fmt.Errorf("out of time: %w", context.Cause(s.ctx))
+	case <-s.Context().Done():
+		return fmt.Errorf("out of time: %w", context.Cause(s.Context()))
 	case <-s.clock.After(d):
 		return nil
 	}
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 
@@ -109,7 +110,7 @@
 type resources struct {
 	metrics *operator.Metrics
 	pool    *peer.Pool
-	trace   interface{ Close() error }
+	trace   io.Closer
 }
 
 func (r resources) close() {
--- a/demo/main.go
+++ b/demo/main.go
@@ -32,8 +32,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	s := newScenario(ctx, clockwork.NewRealClock(), *bin)
-	defer s.close()
-	err := s.play()
+	defer s.Close()
+	err := s.Run(s.play)
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "step\toutcome\ttime\tresult")
 	for _, step := range s.steps {
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -68,7 +67,7 @@
 
 // scenario is the demo's deployment and what came of each step.
 type scenario struct {
-	*runner
+	*harness.Program
 	clock   clockwork.Clock
 	bin     string
 	steps   []step
@@ -78,25 +77,14 @@
 
 func newScenario(ctx context.Context, clock clockwork.Clock, bin string) *scenario {
 	return &scenario{
-		runner: &runner{
-			ctx: ctx,
-		},
-		clock: clock,
-		bin:   bin,
+		Program: harness.NewProgram(ctx, "demo"),
+		clock:   clock,
+		bin:     bin,
 	}
 }
 
 // play runs all steps.
-func (s *scenario) play() (err error) {
-	defer func() {
-		if failure := recover(); failure != nil {
-			stopped, ok := failure.(error)
-			if !ok || !errors.Is(stopped, errStopped) {
-				panic(failure)
-			}
-			err = stopped
-		}
-	}()
+func (s *scenario) play() error {
 	s.start()
 	s.record("publish the document", "in effect", func() string { return s.publish(func(t string) string { return t }) })
 	s.record("small quote", "done, answer 42", s.quote)
@@ -126,7 +114,7 @@
 
 // start starts the stand-ins, the entries and the agents.
 func (s *scenario) start() {
-	s.harness = harness.New(s.runner, harness.Config{
+	s.harness = harness.New(s.Program, harness.Config{
 		Clock:    s.clock,
 		Binaries: s.bin,
 	})
@@ -154,14 +142,14 @@
 		Address: s.cluster.Entries[0].Admin,
 		Token:   harness.OperatorToken,
 	})
-	current, err := admin.Document(s.ctx)
+	current, err := admin.Document(s.Context())
 	if err != nil {
 		return err.Error()
 	}
 	if current.Text == "" {
 		current.Text = fmt.Sprintf(text, document.HashToken(callerToken))
 	}
-	result, err := admin.Publish(s.ctx, operator.PublishRequest{
+	result, err := admin.Publish(s.Context(), operator.PublishRequest{
 		Base: current.Revision,
 		Text: edit(current.Text),
 	})
@@ -170,7 +158,7 @@
 	}
 	deadline := s.clock.Now().Add(effectLimit)
 	for s.clock.Now().Before(deadline) {
-		status, statusErr := admin.Status(s.ctx, result.Revision)
+		status, statusErr := admin.Status(s.Context(), result.Revision)
 		if statusErr == nil && status.Effect {
 			return "in effect"
 		}
@@ -195,7 +183,7 @@
 		Address: s.cluster.Entries[entry%entryCount].Caller,
 		Token:   callerToken,
 	})
-	result, err := client.Submit(s.ctx, job, jobLimit)
+	result, err := client.Submit(s.Context(), job, jobLimit)
 	if err != nil {
 		return callerclient.Job{
 			State: err.Error(),
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// place asks the placer for a reservation and follows one redirection.
+// place asks the placer for a reservation.
 func (e *Entry) place(ctx context.Context, request *peerpb.Place) (*peerpb.PlaceReply, error) {
 	changed := e.termChanges.changed()
 	_, placer := e.terms.current()
--- a/entry/gangcalls.go
+++ b/entry/gangcalls.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
-
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"radishpath.example/radishpath/peer/peerpb"
 )
@@ -81,21 +78,3 @@
 	at := int(member)
 	return at, at >= 0 && at < members
 }
-
-// evict asks every member to checkpoint, if the job can, and to stop within the limit.
-func (g *gangRun) evict(ctx context.Context, checkpoint bool, limit time.Duration) {
-	g.all(ctx, func(ctx context.Context, member int32, at *peerpb.Member) (bool, string) {
-		verdict, err := g.runner.entry.verdict(ctx, at.GetAddress(), &peerpb.Request{
-			Kind: &peerpb.Request_Release{
-				Release: &peerpb.Release{
-					Job:        g.runner.job.GetId(),
-					Attempt:    g.attempt,
-					Member:     member,
-					Checkpoint: checkpoint,
-					Limit:      durationpb.New(limit),
-				},
-			},
-		})
-		return judge(verdict, err)
-	})
-}
--- a/entry/gangrun.go
+++ b/entry/gangrun.go
@@ -8,6 +8,8 @@
 	"hash/crc32"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	"radishpath.example/radishpath/peer"
 	"radishpath.example/radishpath/peer/peerpb"
 )
@@ -133,8 +135,9 @@
 	return "all members are done"
 }
 
-// release drops the attempt everywhere, with a checkpoint first if asked.
-func (g *gangRun) release(ctx context.Context, checkpoint bool) {
+// release drops the attempt everywhere, with a checkpoint first if asked. Tasks stop within the limit, at once if it is
+// zero.
+func (g *gangRun) release(ctx context.Context, checkpoint bool, limit time.Duration) {
 	g.all(ctx, func(ctx context.Context, member int32, at *peerpb.Member) (bool, string) {
 		verdict, err := g.runner.entry.verdict(ctx, at.GetAddress(), &peerpb.Request{
 			Kind: &peerpb.Request_Release{
@@ -143,6 +146,7 @@
 					Attempt:    g.attempt,
 					Member:     member,
 					Checkpoint: checkpoint,
+					Limit:      durationpb.New(limit),
 				},
 			},
 		})
@@ -188,13 +192,13 @@
 			g.runner.movable.Store(g.isAnnounced())
 		case <-cancelled:
 			cancelled = nil
-			g.release(ctx, false)
+			g.release(ctx, false, 0)
 		case <-settled:
 			g.giveUp("its agent did not report in time")
 		}
 		if settled == nil && (g.endedEarly() || cancelled == nil) {
 			settled = g.runner.entry.config.Clock.After(settleWait)
-			g.release(ctx, g.runner.job.GetCheckpointable() && cancelled != nil)
+			g.release(ctx, g.runner.job.GetCheckpointable() && cancelled != nil, 0)
 		}
 	}
 }
--- a/entry/gangs.go
+++ b/entry/gangs.go
@@ -116,7 +116,7 @@
 		return r.abandon(ctx, run, "the entry is leaving")
 	}
 	if !r.start(ctx, agents) {
-		run.release(ctx, false)
+		run.release(ctx, false, 0)
 		if r.isSuperseded() {
 			return true
 		}
@@ -148,7 +148,7 @@
 		return r.abandon(ctx, run, refusal)
 	}
 	if refusal != "" {
-		run.release(ctx, false)
+		run.release(ctx, false, 0)
 	}
 	run.watch(ctx)
 	return r.settleGang(ctx, run)
@@ -156,7 +156,7 @@
 
 // abandon gives a reservation back before any member was started.
 func (r *runner) abandon(ctx context.Context, run *gangRun, reason string) bool {
-	run.release(ctx, false)
+	run.release(ctx, false, 0)
 	r.forget(ctx, &peerpb.Forget{
 		Again:  true,
 		Reason: reason,
@@ -181,7 +181,7 @@
 		r.entry.pause(ctx, gangPoll)
 	}
 	run, _ := r.findGang()
-	run.release(ctx, false)
+	run.release(ctx, false, 0)
 	return ctx.Err() != nil
 }
 
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -312,7 +312,7 @@
 	}
 	placed.evicted = true
 	run := p.gangRun(decided.Job, placed.attempt, placed.members)
-	return func(ctx context.Context) { run.evict(ctx, decided.Checkpoint, decided.Limit) }
+	return func(ctx context.Context) { run.release(ctx, decided.Checkpoint, decided.Limit) }
 }
 
 // members looks up the agents of a placement.
--- a/entry/placerreserve.go
+++ b/entry/placerreserve.go
@@ -36,7 +36,7 @@
 	}
 	if result.first != "" {
 		p.entry.logger.Info("reservation failed", "job", job.GetId(), "reason", result.first)
-		run.release(ctx, false)
+		run.release(ctx, false, 0)
 		reply = &peerpb.PlaceReply{
 			Reasons: []string{"reservation failed: " + result.first},
 		}
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -43,7 +43,7 @@
 		if r.endUnstarted(ctx) {
 			return
 		}
-		target, ok := r.pick(ctx)
+		target, ok := r.pick()
 		if !ok {
 			r.sleep(ctx)
 			continue
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -11,7 +10,7 @@
 )
 
 // pick chooses a backend server for the request.
-func (r *runner) pick(_ context.Context) (agentView, bool) {
+func (r *runner) pick() (agentView, bool) {
 	now := r.entry.config.Clock.Now()
 	request := routing.Request{
 		Job:        r.job.GetId(),
--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -169,20 +169,8 @@
 	if !e.job.evictable() {
 		return false
 	}
-	rooms := s.evictRooms(now, e, func(other *entry) bool { return other.mode == borrowed && other.yields })
-	for i, n := range s.cell.nodes {
-		rooms[i].dear = n.all &^ n.free
-	}
-	w := e.want()
-	w.weight = evictWeight
-	pieces, ok := s.finder.find(rooms, w)
-	if !ok {
-		return false
-	}
-	s.take(e, pieces)
-	s.claim(e)
-	s.vacateFor(now, e, e.space.reclaim(), "yields to "+e.job.ID)
-	return true
+	yields := func(other *entry) bool { return other.mode == borrowed && other.yields }
+	return s.claimEvicting(now, e, yields, e.space.reclaim(), "yields to "+e.job.ID)
 }
 
 // tryMove claims a place for the entry on accelerators of smaller checkpointable borrowed jobs, if these fit elsewhere
@@ -191,13 +179,7 @@
 	if !e.job.evictable() {
 		return false
 	}
-	rooms := s.evictRooms(now, e, func(other *entry) bool { return other.movable(now, e) })
-	for i, n := range s.cell.nodes {
-		rooms[i].dear = n.all &^ n.free
-	}
-	w := e.want()
-	w.weight = evictWeight
-	pieces, ok := s.finder.find(rooms, w)
+	pieces, ok := s.findEvicting(now, e, func(other *entry) bool { return other.movable(now, e) })
 	if !ok {
 		return false
 	}
--- a/placement/try.go
+++ b/placement/try.go
@@ -224,24 +224,37 @@
 	if !s.withinShare(e) {
 		return false
 	}
-	rooms := s.evictRooms(now, e, func(other *entry) bool {
-		return other.mode == borrowed && !other.job.Urgent
-	})
-	for i, n := range s.cell.nodes {
-		rooms[i].dear = n.all &^ n.free
-	}
-	w := e.want()
-	w.weight = evictWeight
-	pieces, ok := s.finder.find(rooms, w)
+	gives := func(other *entry) bool { return other.mode == borrowed && !other.job.Urgent }
+	return s.claimEvicting(now, e, gives, s.config.Urgent, "urgent job "+e.job.ID)
+}
+
+// claimEvicting claims a place for the entry on accelerators that are free or that entries which satisfy may leave
+// within the limit.
+func (s *Scheduler) claimEvicting(
+	now time.Time, e *entry, may func(*entry) bool, limit time.Duration, reason string,
+) bool {
+	pieces, ok := s.findEvicting(now, e, may)
 	if !ok {
 		return false
 	}
 	s.take(e, pieces)
 	s.claim(e)
-	s.vacateFor(now, e, s.config.Urgent, "urgent job "+e.job.ID)
+	s.vacateFor(now, e, limit, reason)
 	return true
 }
 
+// findEvicting finds a place for the entry on accelerators that are free or held by entries which satisfy may. It
+// prefers the free ones.
+func (s *Scheduler) findEvicting(now time.Time, e *entry, may func(*entry) bool) ([]piece, bool) {
+	rooms := s.evictRooms(now, e, may)
+	for i, n := range s.cell.nodes {
+		rooms[i].dear = n.all &^ n.free
+	}
+	w := e.want()
+	w.weight = evictWeight
+	return s.finder.find(rooms, w)
+}
+
 // evictRooms returns what would be free if the entries that satisfy may were gone. Entries that are leaving count as
 // gone.
 func (s *Scheduler) evictRooms(now time.Time, e *entry, may func(*entry) bool) []room {
--- a/proof/suite_test.go
+++ b/proof/suite_test.go
@@ -112,18 +112,10 @@
 // publish publishes through an entry and waits until the document is in effect everywhere.
 func (s *suite) publish(entry int, text string) {
 	s.t.Helper()
-	admin := s.admin(entry)
-	current, err := admin.Document(s.t.Context())
-	require.NoError(s.t, err)
-	result, err := admin.Publish(s.t.Context(), operator.PublishRequest{
-		Base: current.Revision,
-		Text: text,
-	})
-	require.NoError(s.t, err)
-	require.True(s.t, result.Applied, result.Reason)
+	revision, _ := s.accept(entry, text)
 	s.await(2*few, func() bool {
-		status, statusErr := admin.Status(s.t.Context(), result.Revision)
-		return statusErr == nil && status.Effect
+		status, err := s.admin(entry).Status(s.t.Context(), revision)
+		return err == nil && status.Effect
 	}, "document in effect")
 }
 
