--- a/capacity/deployment.go
+++ b/capacity/deployment.go
@@ -8,7 +8,7 @@
 
 	"radishpath.example/radishpath/ledger"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/proof/harness"
 )
 
@@ -28,7 +28,7 @@
 		}
 	}
 	for _, worker := range s.cluster.Workers[len(s.workers):] {
-		s.workers = append(s.workers, platform.NewWorker(platform.WorkerConfig{
+		s.workers = append(s.workers, logservice.NewWorker(logservice.WorkerConfig{
 			Address: worker.Address,
 		}))
 		// The worker is part of the platform; only its port is of interest.
--- a/capacity/gangs.go
+++ b/capacity/gangs.go
@@ -7,7 +7,7 @@
 
 	"radishpath.example/radishpath/caller/callerclient"
 	"radishpath.example/radishpath/gang"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 // workerAccelerators is how many accelerators a worker of the stand-in has.
@@ -84,7 +84,7 @@
 			return nil, false, fmt.Errorf("read tasks: %w", err)
 		}
 		for _, task := range tasks {
-			if task.Job != job || task.State != platform.StateRunning {
+			if task.Job != job || task.State != logservice.StateRunning {
 				continue
 			}
 			running++
--- a/capacity/study.go
+++ b/capacity/study.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"radishpath.example/radishpath/operator"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/proof/harness"
 )
 
@@ -31,7 +31,7 @@
 	cluster *harness.Cluster
 	meter   *meter
 	// workers are the clients of the workers; a new client for each call would use up the workers' connections.
-	workers []*platform.Worker
+	workers []*logservice.Worker
 	// placer is the id of the entry that places.
 	placer string
 	// last is the usage per process of the last measurement.
--- a/cmd/agentcmd.go
+++ b/cmd/agentcmd.go
@@ -14,7 +14,7 @@
 	"radishpath.example/radishpath/backend"
 	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/settings"
 )
 
@@ -65,7 +65,7 @@
 		Clock:     c.Clock,
 		Logger:    logger,
 		Metrics:   metrics.Scope,
-		Worker: workerPort(platform.NewWorker(platform.WorkerConfig{
+		Worker: workerPort(logservice.NewWorker(logservice.WorkerConfig{
 			Address: hostOf(read.Worker),
 		})),
 		Backend: backendPort(backend.NewServer(backend.ServerConfig{
--- a/cmd/agentports.go
+++ b/cmd/agentports.go
@@ -8,11 +8,11 @@
 	"radishpath.example/radishpath/backend"
 	"radishpath.example/radishpath/document"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 // workerPort adapts the worker's client to the agent.
-func workerPort(worker *platform.Worker) agent.WorkerPort {
+func workerPort(worker *logservice.Worker) agent.WorkerPort {
 	return agent.WorkerPort{
 		Describe: func(ctx context.Context) (*peerpb.WorkerInfo, error) {
 			described, err := worker.Describe(ctx)
@@ -31,7 +31,7 @@
 		},
 		Lease: worker.Lease,
 		Start: func(ctx context.Context, task agent.Task) error {
-			return worker.Start(ctx, platform.Task(task))
+			return worker.Start(ctx, logservice.Task(task))
 		},
 		Tasks: func(ctx context.Context) ([]agent.TaskStatus, error) {
 			statuses, err := worker.Tasks(ctx)
@@ -52,7 +52,7 @@
 		Checkpoint: worker.Checkpoint,
 		Stop:       worker.Stop,
 		Remove:     worker.Remove,
-		Rejected:   platform.ErrRejected,
+		Rejected:   logservice.ErrRejected,
 	}
 }
 
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -15,7 +15,7 @@
 	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/settings"
 )
 
@@ -155,7 +155,7 @@
 		Logger:  logger,
 		Metrics: held.metrics.Scope,
 		Pool:    held.pool,
-		Log: platform.NewLog(platform.LogConfig{
+		Log: logservice.NewLog(logservice.LogConfig{
 			Address: hostOf(read.LogService),
 			Clock:   c.Clock,
 			Logger:  logger,
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -14,7 +14,7 @@
 
 	"radishpath.example/radishpath/document"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 const (
@@ -35,12 +35,12 @@
 var ErrUnknownOutcome = errors.New("the log did not answer; the document may or may not have been published")
 
 // errInexact marks a publish that was not appended because this entry could not tell whether it would count.
-var errInexact = fmt.Errorf("the document in effect is not known for certain: %w", platform.ErrRejected)
+var errInexact = fmt.Errorf("the document in effect is not known for certain: %w", logservice.ErrRejected)
 
 // LogService is the platform's append-only log.
 type LogService interface {
 	Append(ctx context.Context, stream string, data []byte) (int64, error)
-	Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platform.Page, error)
+	Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (logservice.Page, error)
 }
 
 // StaleBaseError tells the loser of two concurrent publishes what it lost to.
@@ -155,7 +155,7 @@
 
 // publish appends a document and waits until the stream says whether it counts. The error is a
 // *StaleBaseError for the loser of a race, wraps ErrUnknownOutcome if the log does not tell, and
-// platform.ErrRejected if nothing was appended.
+// logservice.ErrRejected if nothing was appended.
 func (d *documents) publish(ctx context.Context, record *peerpb.DocumentRecord) (int64, error) {
 	if _, err := document.Parse("document", []byte(record.GetText())); err != nil {
 		return 0, fmt.Errorf("check document: %w", err)
@@ -165,7 +165,7 @@
 	}
 	record.Published = timestamppb.New(d.clock.Now())
 	offset, err := d.append(ctx, record)
-	if errors.Is(err, platform.ErrRejected) {
+	if errors.Is(err, logservice.ErrRejected) {
 		return 0, fmt.Errorf("publish document: %w", err)
 	}
 	if err != nil {
@@ -293,7 +293,7 @@
 	return nil
 }
 
-func (d *documents) apply(raw platform.Record) {
+func (d *documents) apply(raw logservice.Record) {
 	if raw.Offset < d.next {
 		// A log may return records below the offset that was asked for.
 		return
--- a/entry/documents_test.go
+++ b/entry/documents_test.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 func textOf(share string) string {
@@ -92,7 +92,7 @@
 		{"taken", textOf("2"), func(*memoryLog) {}, nil},
 		{"answer lost", textOf("2"), func(log *memoryLog) { log.lose = true }, nil},
 		{"append and answer lost", textOf("2"), func(log *memoryLog) { log.drop = true }, ErrUnknownOutcome},
-		{"refused", textOf("2"), func(log *memoryLog) { log.refuse = true }, platform.ErrRejected},
+		{"refused", textOf("2"), func(log *memoryLog) { log.refuse = true }, logservice.ErrRejected},
 		{"not readable", textOf("2"), func(log *memoryLog) { log.blind = true }, ErrUnknownOutcome},
 	}
 	for _, test := range tests {
@@ -143,7 +143,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	_, err := d.publish(ctx, publishRecord(3, "4"))
-	require.ErrorIs(t, err, platform.ErrRejected)
+	require.ErrorIs(t, err, logservice.ErrRejected)
 	require.Len(t, log.records[documentStream], 3, "nothing was appended")
 
 	d.offer(&peerpb.Document{Revision: 3, Text: textOf("3")})
@@ -186,7 +186,7 @@
 	require.NoError(t, err)
 	d.mu.Lock()
 	data := log.records[documentStream][0]
-	d.apply(platform.Record{Offset: 0, Data: data})
+	d.apply(logservice.Record{Offset: 0, Data: data})
 	d.mu.Unlock()
 	result, _ := d.result(0, nil)
 	require.True(t, result.Applied)
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -10,10 +10,10 @@
 	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 
-	"radishpath.example/radishpath/journal"
+	"radishpath.example/radishpath/jobstream"
 	"radishpath.example/radishpath/ledger"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 const (
@@ -30,8 +30,8 @@
 	clock    clockwork.Clock
 	log      LogService
 	ledger   *ledger.Ledger
-	writer   *journal.Writer
-	follower *journal.Follower
+	writer   *jobstream.Writer
+	follower *jobstream.Follower
 	// changes wakes those who wait for a job's state.
 	changes *watches
 
@@ -49,7 +49,7 @@
 		changes: newWatches(),
 		live:    map[string]map[string]bool{},
 	}
-	j.writer = journal.NewWriter(journal.WriterConfig{
+	j.writer = jobstream.NewWriter(jobstream.WriterConfig{
 		Logger: config.Logger.Named("journal"),
 		Clock:  config.Clock,
 		ID:     fmt.Sprintf("%s-%d", config.ID, config.Clock.Now().UnixNano()),
@@ -57,9 +57,9 @@
 		Append: func(ctx context.Context, data []byte) (int64, error) {
 			return config.Log.Append(ctx, jobStream, data)
 		},
-		Rejected: func(err error) bool { return errors.Is(err, platform.ErrRejected) },
+		Rejected: func(err error) bool { return errors.Is(err, logservice.ErrRejected) },
 	})
-	j.follower = journal.NewFollower(journal.FollowerConfig{
+	j.follower = jobstream.NewFollower(jobstream.FollowerConfig{
 		Logger: config.Logger.Named("journal"),
 		Clock:  config.Clock,
 		Ledger: j.ledger,
@@ -78,7 +78,7 @@
 }
 
 // append writes one record and returns when it was read back. Errors wrap errVoid when it has no effect,
-// journal.ErrNotAppended when it will never be in the log, and journal.ErrUnknown when it may be.
+// jobstream.ErrNotAppended when it will never be in the log, and jobstream.ErrUnknown when it may be.
 func (j *jobs) append(ctx context.Context, record *peerpb.Record) error {
 	result, err := j.writer.Submit(ctx, record)
 	if err != nil {
@@ -136,13 +136,13 @@
 // read adapts the log service to the follower.
 func (j *jobs) read(
 	ctx context.Context, from int64, limit int, wait time.Duration,
-) (first, next int64, records []journal.Record, err error) {
+) (first, next int64, records []jobstream.Record, err error) {
 	page, err := j.log.Read(ctx, jobStream, from, limit, wait)
 	if err != nil {
 		return 0, 0, nil, fmt.Errorf("read job stream: %w", err)
 	}
 	for _, record := range page.Records {
-		records = append(records, journal.Record{
+		records = append(records, jobstream.Record{
 			Offset: record.Offset,
 			Data:   record.Data,
 		})
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -12,7 +12,7 @@
 	"radishpath.example/radishpath/ledger"
 	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/settings"
 )
 
@@ -82,7 +82,7 @@
 			Revision: stale.Revision,
 			Reason:   stale.Reason,
 		}, nil
-	case errors.Is(err, platform.ErrRejected):
+	case errors.Is(err, logservice.ErrRejected):
 		return operator.PublishResult{}, fmt.Errorf("%w: %w", operator.ErrNotPublished, err)
 	case err != nil:
 		return operator.PublishResult{}, err
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -18,7 +18,7 @@
 	"radishpath.example/radishpath/ledger"
 	"radishpath.example/radishpath/peer"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 const testText = `[service]
@@ -64,7 +64,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.refuse {
-		return 0, platform.ErrRejected
+		return 0, logservice.ErrRejected
 	}
 	if l.drop {
 		return 0, errNoResponse
@@ -80,14 +80,14 @@
 
 func (l *memoryLog) Read(
 	ctx context.Context, stream string, from int64, limit int, wait time.Duration,
-) (platform.Page, error) {
+) (logservice.Page, error) {
 	timeout := l.clock.After(wait)
 	for {
 		l.mu.Lock()
 		all, first, grown, blind := l.records[stream], l.first, l.grown, l.blind
 		l.mu.Unlock()
 		if blind {
-			return platform.Page{}, errNoResponse
+			return logservice.Page{}, errNoResponse
 		}
 		if from < int64(len(all)) {
 			return page(all, first, from, limit), nil
@@ -97,15 +97,15 @@
 		case <-timeout:
 			return page(all, first, from, limit), nil
 		case <-ctx.Done():
-			return platform.Page{}, ctx.Err()
+			return logservice.Page{}, ctx.Err()
 		}
 	}
 }
 
-func page(all [][]byte, first, from int64, limit int) platform.Page {
-	result := platform.Page{First: first, Next: int64(len(all))}
+func page(all [][]byte, first, from int64, limit int) logservice.Page {
+	result := logservice.Page{First: first, Next: int64(len(all))}
 	for at := max(from, first); at < result.Next && len(result.Records) < limit; at++ {
-		result.Records = append(result.Records, platform.Record{Offset: at, Data: all[at]})
+		result.Records = append(result.Records, logservice.Record{Offset: at, Data: all[at]})
 	}
 	return result
 }
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"radishpath.example/radishpath/caller"
-	"radishpath.example/radishpath/journal"
+	"radishpath.example/radishpath/jobstream"
 	"radishpath.example/radishpath/peer/peerpb"
 )
 
@@ -42,7 +42,7 @@
 		return e.Lookup(ctx, job.GetWorkspace(), job.GetId(), wait)
 	case job.GetIdempotent() && isRequest(job):
 		return e.serveDirect(ctx, job, wait)
-	case errors.Is(err, journal.ErrNotAppended):
+	case errors.Is(err, jobstream.ErrNotAppended):
 		return caller.Status{}, fmt.Errorf("%w: %w", caller.ErrNotAccepted, err)
 	default:
 		return callerStatus(job.GetId(), status{
@@ -183,7 +183,7 @@
 			},
 		},
 	})
-	if errors.Is(err, journal.ErrNotAppended) {
+	if errors.Is(err, jobstream.ErrNotAppended) {
 		return caller.Status{}, fmt.Errorf("%w: %w", caller.ErrNotAccepted, err)
 	}
 	return e.Lookup(ctx, workspace, id, settleWait)
--- a/journal/doc.go
+++ b/jobstream/doc.go
@@ -1,4 +1,4 @@
-// Package journal writes the job stream in batches and follows it into a ledger.
+// Package jobstream writes the job stream in batches and follows it into a ledger.
 //
 // # Usage
 //
@@ -47,4 +47,4 @@
 //
 // Status.Current is the start of the last read that reached the end of the log: everything appended before that
 // moment is folded. WaitCurrent waits for a read that began after a given time.
-package journal
+package jobstream
--- a/journal/errors.go
+++ b/jobstream/errors.go
@@ -1,4 +1,4 @@
-package journal
+package jobstream
 
 import "errors"
 
--- a/platform/doc.go
+++ b/logservice/doc.go
@@ -1,4 +1,4 @@
-// Package platform holds the clients of the platform's two services: the append-only log and the workers.
+// Package logservice holds the clients of the platform's two services: the append-only log and the workers.
 //
 // # Usage
 //
@@ -19,4 +19,4 @@
 // An error that wraps ErrRejected means that the service definitely did not do what was asked. After any other error
 // the outcome is unknown. Start wraps ErrExists when a task of that id was started before, by this call or another;
 // such an error does not wrap ErrRejected. Every time limit comes from the context.
-package platform
+package logservice
--- a/platform/page.go
+++ b/logservice/page.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 // Page is the answer to a read of a stream.
 type Page struct {
--- a/platform/task.go
+++ b/logservice/task.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 // Task is one member of a gang as a worker runs it.
 type Task struct {
--- a/platform/worker.go
+++ b/logservice/worker.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"context"
--- a/proof/harness/events.go
+++ b/proof/harness/events.go
@@ -10,7 +10,7 @@
 	"sort"
 	"time"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/standin/workerserver"
 )
 
@@ -111,7 +111,7 @@
 
 // completes reports whether the work was done.
 func completes(event workerserver.Event) bool {
-	return event.Event == workerserver.EventEnd && event.State == platform.StateDone
+	return event.Event == workerserver.EventEnd && event.State == logservice.StateDone
 }
 
 func ends(event workerserver.Event) bool {
--- a/proof/harness/harness_test.go
+++ b/proof/harness/harness_test.go
@@ -13,7 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/proof/harness"
 )
 
@@ -38,11 +38,11 @@
 
 func startTask(t *testing.T, worker *harness.Worker, id string) {
 	t.Helper()
-	client := platform.NewWorker(platform.WorkerConfig{
+	client := logservice.NewWorker(logservice.WorkerConfig{
 		Address: worker.Address,
 	})
 	require.NoError(t, client.Lease(t.Context(), "lease", time.Hour))
-	require.NoError(t, client.Start(t.Context(), platform.Task{
+	require.NoError(t, client.Start(t.Context(), logservice.Task{
 		ID:      id,
 		Lease:   "lease",
 		Job:     "job",
@@ -96,7 +96,7 @@
 	require.Zero(t, offset)
 	log.Kill()
 	_, err = log.Client.Read(t.Context(), "jobs", 0, 1, 0)
-	require.ErrorIs(t, err, platform.ErrRejected)
+	require.ErrorIs(t, err, logservice.ErrRejected)
 	log.Restart()
 	page, err := log.Client.Read(t.Context(), "jobs", 0, 1, 0)
 	require.NoError(t, err)
--- a/proof/harness/invariants.go
+++ b/proof/harness/invariants.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/standin/workerserver"
 )
 
@@ -27,7 +27,7 @@
 		}
 		key := run{event.Kind, event.Job, event.Member}
 		before, ran := last[key]
-		resumed := event.Resumed && ends(before) && before.State == platform.StateCheckpointed
+		resumed := event.Resumed && ends(before) && before.State == logservice.StateCheckpointed
 		if starts(event) && ran && !resumed {
 			violations = append(violations, violation(event, "runs again after "+before.Time.String()))
 		}
--- a/proof/harness/jobs.go
+++ b/proof/harness/jobs.go
@@ -7,7 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 const pageRecords = 1000
@@ -33,7 +33,7 @@
 	}
 }
 
-func addJobs(jobs map[string]*peerpb.Job, record platform.Record) error {
+func addJobs(jobs map[string]*peerpb.Job, record logservice.Record) error {
 	batch := &peerpb.Batch{}
 	if err := proto.Unmarshal(record.Data, batch); err != nil {
 		return fmt.Errorf("decode record %d of jobs: %w", record.Offset, err)
--- a/proof/harness/log.go
+++ b/proof/harness/log.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/http"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/rest"
 	"radishpath.example/radishpath/standin/logserver"
 )
@@ -13,7 +13,7 @@
 type Log struct {
 	*Process
 	// Client reads and appends past the network of the test.
-	Client *platform.Log
+	Client *logservice.Log
 	// Address is where it listens.
 	Address string
 }
@@ -21,7 +21,7 @@
 func newLog(process *Process, address string) *Log {
 	return &Log{
 		Process: process,
-		Client: platform.NewLog(platform.LogConfig{
+		Client: logservice.NewLog(logservice.LogConfig{
 			Address: address,
 		}),
 		Address: address,
--- a/proof/operations_test.go
+++ b/proof/operations_test.go
@@ -16,7 +16,7 @@
 	"radishpath.example/radishpath/ledger"
 	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/proof/harness"
 	"radishpath.example/radishpath/standin/workerserver"
 )
@@ -200,6 +200,6 @@
 		if event.Event == workerserver.EventStart {
 			started[event.ID] = true
 		}
-		return event.Event == workerserver.EventEnd && event.State == platform.StateDone && started[event.ID]
+		return event.Event == workerserver.EventEnd && event.State == logservice.StateDone && started[event.ID]
 	}
 }
--- a/standin/logserver/server.go
+++ b/standin/logserver/server.go
@@ -11,7 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/rest"
 )
 
@@ -180,7 +180,7 @@
 	}
 }
 
-func (s *Server) page(query readQuery) platform.Page {
+func (s *Server) page(query readQuery) logservice.Page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retain()
--- a/standin/logserver/server_test.go
+++ b/standin/logserver/server_test.go
@@ -11,7 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/rest"
 	"radishpath.example/radishpath/standin/logserver"
 )
@@ -20,7 +20,7 @@
 const timeLimit = 300 * time.Millisecond
 
 type fixture struct {
-	*platform.Log
+	*logservice.Log
 	clock  *clockwork.FakeClock
 	faults *rest.Client
 }
@@ -34,7 +34,7 @@
 	t.Cleanup(server.CloseClientConnections)
 	address := server.Listener.Addr().String()
 	return fixture{
-		Log: platform.NewLog(platform.LogConfig{
+		Log: logservice.NewLog(logservice.LogConfig{
 			Address: address,
 		}),
 		clock: clock,
@@ -123,9 +123,9 @@
 			log.set(t, test.faults)
 			err := log.appendError(t, "during")
 			if test.rejected {
-				require.ErrorIs(t, err, platform.ErrRejected)
+				require.ErrorIs(t, err, logservice.ErrRejected)
 			} else {
-				require.NotErrorIs(t, err, platform.ErrRejected)
+				require.NotErrorIs(t, err, logservice.ErrRejected)
 			}
 			log.set(t, logserver.Faults{})
 			log.append(t, "after")
@@ -141,7 +141,7 @@
 		Rate: 4,
 	})
 	log.append(t, "a")
-	require.ErrorIs(t, log.appendError(t, "b"), platform.ErrRejected)
+	require.ErrorIs(t, log.appendError(t, "b"), logservice.ErrRejected)
 	log.clock.Advance(time.Second / 4)
 	log.append(t, "c")
 	texts, _, _ := log.contents(t)
@@ -155,7 +155,7 @@
 	log.set(t, logserver.Faults{
 		Appends: rest.Duration(3 * time.Second),
 	})
-	require.NotErrorIs(t, log.appendError(t, "late"), platform.ErrRejected)
+	require.NotErrorIs(t, log.appendError(t, "late"), logservice.ErrRejected)
 	texts, _, _ := log.contents(t)
 	require.Empty(t, texts)
 	log.clock.Advance(3 * time.Second)
@@ -256,7 +256,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			log := newFixture(t, logserver.Config{})
 			type result struct {
-				page platform.Page
+				page logservice.Page
 				err  error
 			}
 			results := make(chan result, 1)
--- a/standin/logserver/stream.go
+++ b/standin/logserver/stream.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 // stream is one sequence of records.
@@ -42,14 +42,14 @@
 }
 
 // page returns at most limit records from the offset on.
-func (s *stream) page(from int64, limit int) platform.Page {
-	page := platform.Page{
+func (s *stream) page(from int64, limit int) logservice.Page {
+	page := logservice.Page{
 		First:   s.first,
 		Next:    s.next(),
-		Records: []platform.Record{},
+		Records: []logservice.Record{},
 	}
 	for offset := max(from, s.first); offset < page.Next && len(page.Records) < limit; offset++ {
-		page.Records = append(page.Records, platform.Record{
+		page.Records = append(page.Records, logservice.Record{
 			Offset: offset,
 			Data:   s.records[offset-s.first],
 		})
--- a/standin/workerserver/handlers.go
+++ b/standin/workerserver/handlers.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"radishpath.example/radishpath/backend"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/rest"
 )
 
@@ -21,7 +21,7 @@
 	now := s.lock()
 	usage := s.usage.report(now)
 	s.mu.Unlock()
-	rest.Answer(w, platform.Description{
+	rest.Answer(w, logservice.Description{
 		ID:           s.config.ID,
 		Zone:         s.config.Zone,
 		Rack:         s.config.Rack,
@@ -109,7 +109,7 @@
 }
 
 func (s *Server) handleStart(w http.ResponseWriter, r *http.Request) {
-	description := platform.Task{}
+	description := logservice.Task{}
 	if decode(w, r, &description) {
 		reply(w, s.start(description))
 	}
@@ -117,7 +117,7 @@
 
 func (s *Server) handleTasks(w http.ResponseWriter, _ *http.Request) {
 	rest.Answer(w, struct {
-		Tasks []platform.TaskStatus `json:"tasks"`
+		Tasks []logservice.TaskStatus `json:"tasks"`
 	}{
 		Tasks: s.list(),
 	})
--- a/standin/workerserver/server.go
+++ b/standin/workerserver/server.go
@@ -13,7 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 // maxAccelerators is the width of the bit set.
@@ -146,8 +146,8 @@
 }
 
 // occupied is what the running tasks use.
-func (s *Server) occupied() platform.Usage {
-	total := platform.Usage{}
+func (s *Server) occupied() logservice.Usage {
+	total := logservice.Usage{}
 	for _, t := range s.tasks {
 		if !t.running() {
 			continue
--- a/standin/workerserver/server_test.go
+++ b/standin/workerserver/server_test.go
@@ -14,13 +14,13 @@
 	"github.com/stretchr/testify/require"
 
 	"radishpath.example/radishpath/backend"
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/rest"
 	"radishpath.example/radishpath/standin/workerserver"
 )
 
 type fixture struct {
-	*platform.Worker
+	*logservice.Worker
 	backend *backend.Server
 	clock   *clockwork.FakeClock
 	faults  *rest.Client
@@ -44,7 +44,7 @@
 	t.Cleanup(server.CloseClientConnections)
 	address := server.Listener.Addr().String()
 	return fixture{
-		Worker: platform.NewWorker(platform.WorkerConfig{
+		Worker: logservice.NewWorker(logservice.WorkerConfig{
 			Address: address,
 		}),
 		backend: backend.NewServer(backend.ServerConfig{
@@ -58,9 +58,9 @@
 	}
 }
 
-func (f fixture) await(t *testing.T, id, state string) platform.TaskStatus {
+func (f fixture) await(t *testing.T, id, state string) logservice.TaskStatus {
 	t.Helper()
-	found := platform.TaskStatus{}
+	found := logservice.TaskStatus{}
 	require.Eventually(t, func() bool {
 		tasks, err := f.Tasks(t.Context())
 		require.NoError(t, err)
@@ -94,8 +94,8 @@
 	require.NoError(t, f.faults.Do(t.Context(), http.MethodPut, "/faults", body, nil))
 }
 
-func newTask(id, work string) platform.Task {
-	return platform.Task{
+func newTask(id, work string) logservice.Task {
+	return logservice.Task{
 		ID:           id,
 		Lease:        "lease",
 		Job:          "job",
@@ -109,35 +109,35 @@
 func TestStartRefusals(t *testing.T) {
 	for _, test := range []struct {
 		name   string
-		change func(task *platform.Task)
+		change func(task *logservice.Task)
 		after  time.Duration
 		want   error
 	}{
 		{
 			name:   "lapsed lease",
-			change: func(*platform.Task) {},
+			change: func(*logservice.Task) {},
 			after:  time.Second,
-			want:   platform.ErrRejected,
+			want:   logservice.ErrRejected,
 		},
 		{
 			name:   "unknown lease",
-			change: func(task *platform.Task) { task.Lease = "other" },
-			want:   platform.ErrRejected,
+			change: func(task *logservice.Task) { task.Lease = "other" },
+			want:   logservice.ErrRejected,
 		},
 		{
 			name:   "overlapping accelerators",
-			change: func(task *platform.Task) { task.Accelerators = 3 },
-			want:   platform.ErrRejected,
+			change: func(task *logservice.Task) { task.Accelerators = 3 },
+			want:   logservice.ErrRejected,
 		},
 		{
 			name:   "accelerators that do not exist",
-			change: func(task *platform.Task) { task.Accelerators = 1 << 4 },
-			want:   platform.ErrRejected,
+			change: func(task *logservice.Task) { task.Accelerators = 1 << 4 },
+			want:   logservice.ErrRejected,
 		},
 		{
 			name:   "known id",
-			change: func(task *platform.Task) { task.ID = "first" },
-			want:   platform.ErrExists,
+			change: func(task *logservice.Task) { task.ID = "first" },
+			want:   logservice.ErrExists,
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -150,8 +150,8 @@
 			test.change(&task)
 			err := worker.Start(t.Context(), task)
 			require.ErrorIs(t, err, test.want)
-			if errors.Is(test.want, platform.ErrExists) {
-				require.NotErrorIs(t, err, platform.ErrRejected)
+			if errors.Is(test.want, logservice.ErrExists) {
+				require.NotErrorIs(t, err, logservice.ErrRejected)
 			}
 			tasks, err := worker.Tasks(t.Context())
 			require.NoError(t, err)
@@ -171,9 +171,9 @@
 	worker.clock.Advance(time.Second)
 	require.NoError(t, worker.Lease(t.Context(), "lease", 2*time.Second))
 	worker.clock.Advance(1900 * time.Millisecond)
-	worker.await(t, "renewed", platform.StateRunning)
+	worker.await(t, "renewed", logservice.StateRunning)
 	worker.clock.Advance(time.Hour)
-	worker.await(t, "renewed", platform.StateLapsed)
+	worker.await(t, "renewed", logservice.StateLapsed)
 	require.Equal(t, []string{workerserver.EventStart, workerserver.EventLapse}, worker.events(t))
 	require.Contains(t, worker.record.String(), begin.Add(3*time.Second).Format(time.RFC3339Nano))
 }
@@ -187,9 +187,9 @@
 	})
 	err := worker.Start(t.Context(), newTask("task", "1h"))
 	require.Error(t, err)
-	require.NotErrorIs(t, err, platform.ErrRejected)
-	require.ErrorIs(t, worker.Start(t.Context(), newTask("task", "1h")), platform.ErrExists)
-	worker.await(t, "task", platform.StateRunning)
+	require.NotErrorIs(t, err, logservice.ErrRejected)
+	require.ErrorIs(t, worker.Start(t.Context(), newTask("task", "1h")), logservice.ErrExists)
+	worker.await(t, "task", logservice.StateRunning)
 }
 
 // TestCheckpointResumes guards against work that is lost or done twice when a task moves, also to another worker.
@@ -211,16 +211,16 @@
 		first.clock.Advance(8 * time.Second)
 		require.NoError(t, first.Checkpoint(t.Context(), "first"))
 		require.NoError(t, first.Stop(t.Context(), "first"))
-		first.await(t, "first", platform.StateCheckpointed)
+		first.await(t, "first", logservice.StateCheckpointed)
 		require.NoError(t, first.Remove(t.Context(), "first"))
 		require.NoError(t, second.Lease(t.Context(), "lease", time.Hour))
 		task := newTask("second", "10s")
 		task.Resume = true
 		require.NoError(t, second.Start(t.Context(), task))
 		second.clock.Advance(5900 * time.Millisecond)
-		second.await(t, "second", platform.StateRunning)
+		second.await(t, "second", logservice.StateRunning)
 		second.clock.Advance(100 * time.Millisecond)
-		second.await(t, "second", platform.StateDone)
+		second.await(t, "second", logservice.StateDone)
 	}
 }
 
@@ -285,7 +285,7 @@
 	})
 	require.NoError(t, worker.Lease(t.Context(), "lease", time.Second))
 	require.NoError(t, worker.Start(t.Context(), newTask("task", "1h")))
-	require.Equal(t, "worker fails all work", worker.await(t, "task", platform.StateFailed).Reason)
+	require.Equal(t, "worker fails all work", worker.await(t, "task", logservice.StateFailed).Reason)
 	answer, err := worker.backend.Serve(t.Context(), backend.Request{
 		ID:      "request",
 		Payload: []byte(`{"work":"1h"}`),
@@ -305,7 +305,7 @@
 	task := newTask("task", "1h")
 	task.Payload = []byte("{")
 	require.NoError(t, worker.Start(t.Context(), task))
-	require.Contains(t, worker.await(t, "task", platform.StateFailed).Reason, "decode payload")
+	require.Contains(t, worker.await(t, "task", logservice.StateFailed).Reason, "decode payload")
 	answer, err := worker.backend.Serve(t.Context(), backend.Request{
 		ID:      "request",
 		Payload: task.Payload,
@@ -332,7 +332,7 @@
 	worker.clock.Advance(time.Second)
 	require.Equal(t, uint64(1), used())
 	worker.clock.Advance(time.Second)
-	worker.await(t, "task", platform.StateDone)
+	worker.await(t, "task", logservice.StateDone)
 	require.Equal(t, uint64(1), used())
 	worker.clock.Advance(2 * time.Second)
 	require.Zero(t, used())
--- a/standin/workerserver/task.go
+++ b/standin/workerserver/task.go
@@ -5,7 +5,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 // throttleFactor is how many times longer throttled work takes.
@@ -13,7 +13,7 @@
 
 // task is a task that runs or is remembered.
 type task struct {
-	status  platform.TaskStatus
+	status  logservice.TaskStatus
 	payload Payload
 	// run numbers the runs of the job on this worker.
 	run int
@@ -25,11 +25,11 @@
 	timer    clockwork.Timer
 }
 
-func newTask(description platform.Task, payload Payload, done time.Duration, now time.Time) *task {
+func newTask(description logservice.Task, payload Payload, done time.Duration, now time.Time) *task {
 	return &task{
-		status: platform.TaskStatus{
+		status: logservice.TaskStatus{
 			Task:  description,
-			State: platform.StateRunning,
+			State: logservice.StateRunning,
 		},
 		payload:  payload,
 		done:     done,
@@ -72,7 +72,7 @@
 }
 
 func (t *task) running() bool {
-	return t.status.State == platform.StateRunning
+	return t.status.State == logservice.StateRunning
 }
 
 // throttle slows the rest of the work down.
--- a/standin/workerserver/tasks.go
+++ b/standin/workerserver/tasks.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 // act checkpoints, stops or throttles a task. Acting on a task that has ended has no effect and is no error, except
@@ -21,7 +21,7 @@
 	case "checkpoint":
 		return s.checkpoint(t, now)
 	case "stop":
-		s.finish(t, platform.StateStopped, "stopped")
+		s.finish(t, logservice.StateStopped, "stopped")
 	case "throttle":
 		s.throttle(t, now)
 	default:
@@ -31,7 +31,7 @@
 }
 
 func (s *Server) checkpoint(t *task, now time.Time) *refusal {
-	if t.status.State == platform.StateCheckpointed {
+	if t.status.State == logservice.StateCheckpointed {
 		return nil
 	}
 	if !t.running() {
@@ -40,7 +40,7 @@
 	if err := s.checkpoints.save(t.status.Job, t.status.Member, t.progress(now)); err != nil {
 		return refuse(http.StatusServiceUnavailable, err.Error())
 	}
-	s.finish(t, platform.StateCheckpointed, "")
+	s.finish(t, logservice.StateCheckpointed, "")
 	return nil
 }
 
@@ -53,11 +53,11 @@
 		return
 	}
 	if t.payload.Fail {
-		s.finish(t, platform.StateFailed, t.payload.reason())
+		s.finish(t, logservice.StateFailed, t.payload.reason())
 		return
 	}
 	t.status.Answer = t.payload.answer(t.status.Job, t.run)
-	s.finish(t, platform.StateDone, "")
+	s.finish(t, logservice.StateDone, "")
 }
 
 // finish ends a task if it runs.
@@ -71,7 +71,7 @@
 }
 
 func (s *Server) lapse(t *task, expired time.Time) {
-	t.end(platform.StateLapsed, "lease lapsed")
+	t.end(logservice.StateLapsed, "lease lapsed")
 	event := t.event(EventLapse)
 	event.Expired = expired
 	s.note(event)
@@ -94,10 +94,10 @@
 }
 
 // list returns the tasks in order of their ids.
-func (s *Server) list() []platform.TaskStatus {
+func (s *Server) list() []logservice.TaskStatus {
 	s.lock()
 	defer s.mu.Unlock()
-	statuses := []platform.TaskStatus{}
+	statuses := []logservice.TaskStatus{}
 	for _, t := range s.tasks {
 		statuses = append(statuses, t.status)
 	}
@@ -120,7 +120,7 @@
 }
 
 // start starts a task or says why not.
-func (s *Server) start(description platform.Task) *refusal {
+func (s *Server) start(description logservice.Task) *refusal {
 	now := s.lock()
 	defer s.mu.Unlock()
 	payload := parsePayload(description.Payload)
@@ -162,7 +162,7 @@
 }
 
 // startRefusal returns why a task must not start, or nil.
-func (s *Server) startRefusal(description platform.Task) *refusal {
+func (s *Server) startRefusal(description logservice.Task) *refusal {
 	_, live := s.leases[description.Lease]
 	switch _, known := s.tasks[description.ID]; {
 	case known:
--- a/standin/workerserver/usage.go
+++ b/standin/workerserver/usage.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/logservice"
 )
 
 // usage is the history of what the tasks occupied, as far back as the reports need it.
@@ -14,11 +14,11 @@
 
 type sample struct {
 	time  time.Time
-	usage platform.Usage
+	usage logservice.Usage
 }
 
 // add notes a change.
-func (u *usage) add(now time.Time, changed platform.Usage) {
+func (u *usage) add(now time.Time, changed logservice.Usage) {
 	u.samples = append(u.samples, sample{
 		time:  now,
 		usage: changed,
@@ -34,10 +34,10 @@
 }
 
 // report returns what the tasks occupied before the delay.
-func (u *usage) report(now time.Time) platform.Usage {
+func (u *usage) report(now time.Time) logservice.Usage {
 	u.drop(now)
 	if len(u.samples) == 0 || u.samples[0].time.After(now.Add(-u.delay)) {
-		return platform.Usage{}
+		return logservice.Usage{}
 	}
 	return u.samples[0].usage
 }
