--- /dev/null
+++ b/cell/config.go
@@ -0,0 +1,110 @@
+package cell
+
+import (
+	"net"
+	"strings"
+	"time"
+)
+
+// Config is one version of what the operators published, in the project's own terms.
+type Config struct {
+	Version    int64
+	Queues     []Queue
+	Services   map[string]Service
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// Queue accepts jobs under a host and a path prefix.
+type Queue struct {
+	Name    string
+	Host    string
+	Prefix  string
+	Service string
+	// Priority 0 comes first.
+	Priority int
+	// MaxFailures is how many runs of a task may fail.
+	MaxFailures int
+	// Stretch times the ideal run time, plus Slack, is the objective of a job.
+	Stretch float64
+	Slack   time.Duration
+	// Anonymous queues take calls without a key.
+	Anonymous bool
+	// Advised queues need a ticket for each start.
+	Advised bool
+}
+
+// Service is a set of executors.
+type Service struct {
+	Name string
+	// Guarded executors refuse what doesn't fit.
+	Guarded bool
+	// Spare services hold machines that are switched off.
+	Spare bool
+}
+
+// Workspace is a tenant with its keys and its guaranteed share.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Guaranteed accelerators belong to the workspace's work of priority 0 at all times.
+	Guaranteed int64
+}
+
+// Limits bound what callers send.
+type Limits struct {
+	BodyBytes   int64
+	HeaderBytes int
+	// HeaderTimeout is how long the headers of a call may take.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Match returns the queue with the longest prefix of path on that host, and the rest of the path.
+func (c Config) Match(host, path string) (Queue, string, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	found, ok := Queue{}, false
+	for _, queue := range c.Queues {
+		if !strings.EqualFold(queue.Host, host) || !strings.HasPrefix(path, queue.Prefix) {
+			continue
+		}
+		if !ok || len(queue.Prefix) > len(found.Prefix) {
+			found, ok = queue, true
+		}
+	}
+	return found, strings.TrimPrefix(path, found.Prefix), ok
+}
+
+// Queue returns the queue of that name.
+func (c Config) Queue(name string) (Queue, bool) {
+	for _, queue := range c.Queues {
+		if queue.Name == name {
+			return queue, true
+		}
+	}
+	return Queue{}, false
+}
+
+// Guaranteed returns the accelerators guaranteed to a workspace.
+func (c Config) Guaranteed(workspace string) int64 {
+	for _, w := range c.Workspaces {
+		if w.Name == workspace {
+			return w.Guaranteed
+		}
+	}
+	return 0
+}
+
+// Workspace returns the name of the workspace that holds the key.
+func (c Config) Workspace(key string) (string, bool) {
+	for _, workspace := range c.Workspaces {
+		for _, held := range workspace.Keys {
+			if held == key {
+				return workspace.Name, true
+			}
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/cell/operations.go
@@ -0,0 +1,36 @@
+package cell
+
+import "maps"
+
+// Operations is everything that the operators published: the newest configuration and the availability zones that are
+// out of service.
+type Operations struct {
+	// Known is false before a configuration was read.
+	Known     bool
+	Config    Config
+	Evacuated map[string]bool
+}
+
+// WithConfig returns the operations with a configuration, unless the present one is newer.
+func (o Operations) WithConfig(config Config) Operations {
+	if o.Known && config.Version < o.Config.Version {
+		return o
+	}
+	o.Known = true
+	o.Config = config
+	return o
+}
+
+// WithZone returns the operations with an availability zone out of service or back in service.
+func (o Operations) WithZone(zone string, out bool) Operations {
+	evacuated := maps.Clone(o.Evacuated)
+	if evacuated == nil {
+		evacuated = map[string]bool{}
+	}
+	delete(evacuated, zone)
+	if out {
+		evacuated[zone] = true
+	}
+	o.Evacuated = evacuated
+	return o
+}
--- /dev/null
+++ b/cell/state.go
@@ -0,0 +1,212 @@
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+// Keys of the cell's log.
+const (
+	jobPrefix      = "job/"
+	cancelPrefix   = "cancel/"
+	progressPrefix = "progress/"
+	memberPrefix   = "entry/"
+	claimKey       = "scheduler"
+)
+
+// Tracked is what the log says about one job.
+type Tracked struct {
+	Job       *cellpb.Job
+	Cancelled bool
+	// Progress is nil before the scheduler recorded any.
+	Progress *cellpb.Progress
+}
+
+// State returns the job's state as callers see it.
+func (t Tracked) State() cellpb.State {
+	switch state := t.Progress.GetState(); {
+	case state == cellpb.State_STATE_DONE, state == cellpb.State_STATE_FAILED, state == cellpb.State_STATE_CANCELLED:
+		return state
+	case t.Cancelled:
+		return cellpb.State_STATE_CANCELLED
+	case t.Progress.GetBegun():
+		return cellpb.State_STATE_RUNNING
+	}
+	return cellpb.State_STATE_QUEUED
+}
+
+// State is the fold of the cell's log. It isn't safe for concurrent use.
+type State struct {
+	jobs    map[string]*Tracked
+	claim   *cellpb.Claim
+	members map[string]string
+}
+
+// NewState returns the state of an empty log.
+func NewState() *State {
+	return &State{
+		jobs:    map[string]*Tracked{},
+		claim:   &cellpb.Claim{},
+		members: map[string]string{},
+	}
+}
+
+// JobEntry returns the entry that stores a job.
+func JobEntry(job *cellpb.Job) (Entry, error) {
+	return newEntry(jobPrefix+job.GetId(), &cellpb.Record{Body: &cellpb.Record_Job{Job: job}})
+}
+
+// CancelEntry returns the entry that cancels a job.
+func CancelEntry(id string) (Entry, error) {
+	return newEntry(cancelPrefix+id, &cellpb.Record{Body: &cellpb.Record_Cancel{Cancel: &cellpb.Cancel{Id: id}}})
+}
+
+// ProgressEntry returns the entry that records a job's progress.
+func ProgressEntry(progress *cellpb.Progress) (Entry, error) {
+	return newEntry(progressPrefix+progress.GetId(), &cellpb.Record{Body: &cellpb.Record_Progress{Progress: progress}})
+}
+
+// ClaimEntry returns the entry that names the scheduler.
+func ClaimEntry(claim *cellpb.Claim) (Entry, error) {
+	return newEntry(claimKey, &cellpb.Record{Body: &cellpb.Record_Claim{Claim: claim}})
+}
+
+// MemberEntry returns the entry that names an entry's address.
+func MemberEntry(member *cellpb.Member) (Entry, error) {
+	return newEntry(memberPrefix+member.GetId(), &cellpb.Record{Body: &cellpb.Record_Member{Member: member}})
+}
+
+// DropEntries returns the entries that forget a job. The job itself goes last, because a job without progress would
+// start from the beginning.
+func DropEntries(id string) []Entry {
+	return []Entry{
+		{Key: jobPrefix + id},
+		{Key: cancelPrefix + id},
+		{Key: progressPrefix + id},
+	}
+}
+
+func newEntry(key string, record *cellpb.Record) (Entry, error) {
+	value, err := proto.Marshal(record)
+	if err != nil {
+		return Entry{}, fmt.Errorf("encode %s: %w", key, err)
+	}
+	return Entry{
+		Key:   key,
+		Value: value,
+	}, nil
+}
+
+// Apply folds an entry into the state and returns the id of the job that it concerns, if any. An entry that can't be
+// read changes nothing.
+func (s *State) Apply(entry Entry) (string, error) {
+	prefix, id, _ := strings.Cut(entry.Key, "/")
+	if len(entry.Value) == 0 {
+		s.drop(prefix+"/", id)
+		return id, nil
+	}
+	record := &cellpb.Record{}
+	if err := proto.Unmarshal(entry.Value, record); err != nil {
+		return "", fmt.Errorf("record %s at %d: %w", entry.Key, entry.Offset, err)
+	}
+	switch body := record.GetBody().(type) {
+	case *cellpb.Record_Claim:
+		if body.Claim.GetEpoch() >= s.claim.GetEpoch() {
+			s.claim = body.Claim
+		}
+		return "", nil
+	case *cellpb.Record_Member:
+		s.members[id] = body.Member.GetAddress()
+		return "", nil
+	case *cellpb.Record_Job:
+		if tracked := s.track(id); tracked.Job == nil {
+			tracked.Job = body.Job
+		}
+	case *cellpb.Record_Cancel:
+		s.track(id).Cancelled = true
+	case *cellpb.Record_Progress:
+		s.track(id).Progress = body.Progress
+	default:
+		return "", fmt.Errorf("record %s at %d: unknown kind", entry.Key, entry.Offset)
+	}
+	return id, nil
+}
+
+// Claim returns the newest claim.
+func (s *State) Claim() *cellpb.Claim {
+	return s.claim
+}
+
+// Job returns what is known of a job.
+func (s *State) Job(id string) (Tracked, bool) {
+	tracked, ok := s.jobs[id]
+	if !ok || tracked.Job == nil {
+		return Tracked{}, false
+	}
+	return *tracked, true
+}
+
+// Jobs returns every job.
+func (s *State) Jobs() []Tracked {
+	jobs := make([]Tracked, 0, len(s.jobs))
+	for _, tracked := range s.jobs {
+		if tracked.Job != nil {
+			jobs = append(jobs, *tracked)
+		}
+	}
+	return jobs
+}
+
+// Members returns the addresses of the entries.
+func (s *State) Members() []string {
+	return slices.Sorted(maps.Values(s.members))
+}
+
+// Pending returns how many untimed jobs of a queue were accepted and haven't begun.
+func (s *State) Pending(queue string) int {
+	count := 0
+	for _, tracked := range s.jobs {
+		if tracked.Job.GetQueue() == queue && tracked.State() == cellpb.State_STATE_QUEUED {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *State) drop(prefix, id string) {
+	tracked, ok := s.jobs[id]
+	if !ok {
+		return
+	}
+	switch prefix {
+	case jobPrefix:
+		tracked.Job = nil
+	case cancelPrefix:
+		tracked.Cancelled = false
+	case progressPrefix:
+		tracked.Progress = nil
+	}
+	if tracked.Job == nil && !tracked.Cancelled && tracked.Progress == nil {
+		delete(s.jobs, id)
+	}
+}
+
+func (s *State) track(id string) *Tracked {
+	tracked, ok := s.jobs[id]
+	if !ok {
+		tracked = &Tracked{}
+		s.jobs[id] = tracked
+	}
+	return tracked
+}
+
+// FromScheduler reports whether only the scheduler writes a key.
+func FromScheduler(key string) bool {
+	return key == claimKey || strings.HasPrefix(key, progressPrefix)
+}
--- /dev/null
+++ b/cmd/cellagentcmd.go
@@ -0,0 +1,87 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"radishpath.example/radishpath/boottime"
+	"radishpath.example/radishpath/node"
+	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/settings"
+)
+
+func (c *Config) newCellAgentCmd() *cobra.Command {
+	path := ""
+	cmd := &cobra.Command{
+		Use:     "agent",
+		Short:   "Run the agent of a cell beside an executor",
+		Example: "  radishpath cell agent --settings agent.ini",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			read, err := settings.ReadCell(settings.RealSystem{}, path, settings.ParseCellAgent)
+			if err != nil {
+				return fmt.Errorf("agent settings: %w", err)
+			}
+			return c.runCellAgent(cmd.Context(), path, read)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "agent.ini", "INI file with the settings")
+	return cmd
+}
+
+// runCellAgent works until ctx ends. What runs at the executor goes on under its leases.
+func (c *Config) runCellAgent(ctx context.Context, path string, read settings.CellSettings) error {
+	process := c.newCellProcess("agent", path, read)
+	defer process.close()
+	executor := platform.NewExecutor(platform.ExecutorConfig{
+		Address: read.Executor,
+	})
+	n := node.New(node.Config{
+		ID:      read.ID,
+		Address: read.Listen,
+		Process: c.Clock.Now().UnixMilli(),
+		Entries: read.Entries,
+		Logger:  process.logger,
+		Clock:   c.Clock,
+		Boot:    boottime.NewClock(),
+		Executor: node.ExecutorPort{
+			Hold:  executor.Hold,
+			Start: executor.Start,
+			Stop:  executor.Stop,
+		},
+		Exchange: process.pool.Exchange,
+		Forget:   process.pool.Forget,
+	})
+	run, stop := context.WithCancel(ctx)
+	defer stop()
+	process.watchReload(run)
+	peersEnded, err := process.servePeers(run, n.Forward)
+	if err != nil {
+		return err
+	}
+	_, controlEnded, err := process.serveHTTP(run, "heartbeats", read.Control,
+		platform.NewHeartbeats(platform.HeartbeatsConfig{
+			Logger: process.logger,
+			Beat:   n.Beat,
+		}))
+	if err != nil {
+		return err
+	}
+	_, adminEnded, err := process.serveHTTP(run, "metrics", read.Admin, process.metrics.Handler)
+	if err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(run) }()
+	select {
+	case <-ctx.Done():
+	case err = <-peersEnded:
+	case err = <-controlEnded:
+	case err = <-adminEnded:
+	}
+	stop()
+	<-ended
+	return err
+}
--- /dev/null
+++ b/cmd/cellentrycmd.go
@@ -0,0 +1,237 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/spf13/cobra"
+
+	"radishpath.example/radishpath/boottime"
+	"radishpath.example/radishpath/cell"
+	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/dispatch"
+	"radishpath.example/radishpath/follow"
+	"radishpath.example/radishpath/gateway"
+	"radishpath.example/radishpath/mirror"
+	"radishpath.example/radishpath/platform"
+	"radishpath.example/radishpath/scheduler"
+	"radishpath.example/radishpath/settings"
+)
+
+const (
+	// operationsPoll is how long a read of the operators' log waits: an entry's trust in keys is never older than that
+	// and an answer's time.
+	operationsPoll = time.Second
+	cellPoll       = time.Second
+	// grant is how far beyond its report an agent may extend leases. It covers outages of the store and of the
+	// scheduler; what ran at an executor that is gone is given up only after it.
+	grant = 10 * time.Second
+	// drainShare is the part of the grace period for which a stopping entry goes on taking calls.
+	drainShare = 0.45
+	// lingerShare is the part after which it ends, answered or not.
+	lingerShare = 0.8
+)
+
+func (c *Config) newCellEntryCmd() *cobra.Command {
+	path := ""
+	cmd := &cobra.Command{
+		Use:     "entry",
+		Short:   "Run an entry of a cell, which serves callers and may be the scheduler",
+		Example: "  radishpath cell entry --settings entry.ini",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			read, err := settings.ReadCell(settings.RealSystem{}, path, settings.ParseCellEntry)
+			if err != nil {
+				return fmt.Errorf("entry settings: %w", err)
+			}
+			return c.runCellEntry(cmd.Context(), path, read)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "entry.ini", "INI file with the settings")
+	return cmd
+}
+
+// cellEntry is an entry of a cell and its parts.
+type cellEntry struct {
+	*cellProcess
+	mirror     *mirror.Mirror
+	operations *follow.Follower
+	cell       *follow.Follower
+	topic      *platform.Topic
+	scheduler  *scheduler.Scheduler
+	gateway    *gateway.Gateway
+	peers      *gateway.Peers
+}
+
+func (c *Config) newCellEntry(process *cellProcess) *cellEntry {
+	boot := boottime.NewClock()
+	store := platform.NewStore(platform.StoreConfig{
+		Address: process.read.Store,
+	})
+	e := &cellEntry{
+		cellProcess: process,
+		topic:       store.Topic(cellTopic),
+		mirror: mirror.New(mirror.Config{
+			Logger: process.logger,
+			Boot:   boot,
+			Decode: platform.ApplyOperation,
+		}),
+	}
+	e.operations = c.newFollower(process.logger, boot, "operations", operationsPoll, store.Operations(),
+		e.mirror.ApplyOperations)
+	e.cell = c.newFollower(process.logger, boot, "cell", cellPoll, e.topic, e.mirror.ApplyCell)
+	e.scheduler = scheduler.New(scheduler.Config{
+		Holder:  process.read.ID + "." + strconv.FormatInt(c.Clock.Now().UnixNano(), 36),
+		Address: process.read.Listen,
+		Logger:  process.logger,
+		Clock:   c.Clock,
+		Boot:    boot,
+		Metrics: process.metrics.Scope,
+		Mirror:  e.mirror,
+		Next:    e.cell.Next,
+		Await:   e.cell.Await,
+		Append:  e.topic.Append,
+		Dispatch: dispatch.Config{
+			Grant:     grant,
+			StopGrace: process.read.Stop,
+			GangLimit: process.read.Gang,
+			Retention: process.read.Keep,
+			FarFactor: float64(process.read.Far),
+		},
+	})
+	e.peers = gateway.NewPeers(gateway.PeersConfig{
+		Address:  process.read.Listen,
+		Seeds:    process.read.Entries,
+		Logger:   process.logger,
+		Mirror:   e.mirror,
+		Report:   e.scheduler.Report,
+		Append:   e.topic.Append,
+		Exchange: process.pool.Exchange,
+	})
+	e.gateway = gateway.New(gateway.Config{
+		Logger:        process.logger,
+		Clock:         c.Clock,
+		Boot:          boot,
+		Metrics:       process.metrics.Scope,
+		Mirror:        e.mirror,
+		OperationsAge: e.operations.Age,
+		StateAge:      e.cell.Age,
+		KeyLimit:      process.read.Revoke,
+		Append:        e.topic.Append,
+		Relay:         e.peers.Relay,
+	})
+	return e
+}
+
+func (c *Config) newFollower(
+	logger hclog.Logger, boot boottime.Clock, name string, wait time.Duration, topic *platform.Topic,
+	apply func(entries []cell.Entry, reset bool),
+) *follow.Follower {
+	return follow.New(follow.Config{
+		Name:   name,
+		Logger: logger,
+		Clock:  c.Clock,
+		Boot:   boot,
+		Wait:   wait,
+		Newest: topic.Newest,
+		Read:   topic.Read,
+		Apply:  apply,
+	})
+}
+
+// runCellEntry serves until ctx ends, then gives up the scheduler's place, lets callers move to other entries, and ends
+// within the grace period.
+func (c *Config) runCellEntry(ctx context.Context, path string, read settings.CellSettings) error {
+	process := c.newCellProcess("entry", path, read)
+	defer process.close()
+	e := c.newCellEntry(process)
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	process.watchReload(run)
+	followed := make(chan error, 3)
+	go func() { followed <- e.operations.Run(run) }()
+	go func() { followed <- e.cell.Run(run) }()
+	go func() { followed <- e.scheduler.Run(run) }()
+	peersEnded, err := process.servePeers(run, e.peers.Answer)
+	if err != nil {
+		return err
+	}
+	_, readyEnded, err := process.serveHTTP(run, "readiness", read.Ready, platform.NewReady(e.gateway.Ready))
+	if err != nil {
+		return err
+	}
+	_, adminEnded, err := process.serveHTTP(run, "metrics", read.Admin, process.metrics.Handler)
+	if err != nil {
+		return err
+	}
+	callers, callersEnded, err := process.serveHTTP(run, "callers", read.Caller, e.callers())
+	if err != nil {
+		return err
+	}
+	go e.announce(run, c)
+	select {
+	case <-ctx.Done():
+	case err = <-followed:
+	case err = <-peersEnded:
+	case err = <-readyEnded:
+	case err = <-adminEnded:
+	case err = <-callersEnded:
+	}
+	e.drain(c, callers)
+	return err
+}
+
+// drain lets callers' connections end after an answer each.
+func (e *cellEntry) drain(c *Config, callers *http.Server) {
+	e.logger.Info("stopping")
+	e.gateway.Leave()
+	e.scheduler.Leave()
+	callers.SetKeepAlivesEnabled(false)
+	<-c.Clock.After(time.Duration(drainShare * float64(e.read.Grace)))
+	ctx, cancel := context.WithTimeout(context.Background(),
+		time.Duration((lingerShare-drainShare)*float64(e.read.Grace)))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		e.logger.Warn("calls were cut off", "error", err)
+	}
+}
+
+func (e *cellEntry) callers() http.Handler {
+	return platform.NewCallers(platform.CallersConfig{
+		Submit: e.gateway.Submit,
+		Lookup: e.gateway.Lookup,
+		Cancel: e.gateway.Cancel,
+		BodyBytes: func() int64 {
+			return e.mirror.Operations().Config.Limits.BodyBytes
+		},
+	})
+}
+
+// announce names this entry in the cell's log, where others find it.
+func (e *cellEntry) announce(ctx context.Context, c *Config) {
+	entry, err := cell.MemberEntry(&cellpb.Member{
+		Id:      e.read.ID,
+		Address: e.read.Listen,
+	})
+	if err != nil {
+		e.logger.Error("announce", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		limit, cancel := context.WithTimeout(ctx, time.Second)
+		_, err = e.topic.Append(limit, []cell.Entry{entry}, nil, -1)
+		cancel()
+		if err == nil {
+			return
+		}
+		e.logger.Warn("announce", "error", err)
+		select {
+		case <-ctx.Done():
+		case <-c.Clock.After(time.Second):
+		}
+	}
+}
--- a/cmd/config.go
+++ b/cmd/config.go
@@ -71,6 +71,7 @@
 		c.newCancelCmd(),
 		c.newEntryCmd(),
 		c.newAgentCmd(),
+		c.newCellCmd(),
 		c.newVersionCmd(),
 	}
 }
--- /dev/null
+++ b/dispatch/estimates.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"time"
+)
+
+const (
+	// learnRate weighs a new run time against the mean so far.
+	learnRate = 0.2
+	// minSamples is how many runs the mean needs before it replaces the declared time.
+	minSamples = 3
+)
+
+// estimates are the run times of the queues' tasks, from what ran. Declared times are off by factors.
+type estimates struct {
+	queues map[string]*estimate
+}
+
+type estimate struct {
+	mean    time.Duration
+	samples int
+}
+
+func newEstimates() estimates {
+	return estimates{
+		queues: map[string]*estimate{},
+	}
+}
+
+// learn takes over the run time of a run that began from nothing.
+func (s estimates) learn(g *group, place *placement, now Instant) {
+	if !place.running || place.basePercent > 0 {
+		return
+	}
+	e, ok := s.queues[g.job.spec.GetQueue()]
+	if !ok {
+		e = &estimate{}
+		s.queues[g.job.spec.GetQueue()] = e
+	}
+	ran := now.Boot - place.started
+	e.samples++
+	if e.samples == 1 {
+		e.mean = ran
+		return
+	}
+	e.mean += time.Duration(learnRate * float64(ran-e.mean))
+}
+
+// of returns the expected run time of a task.
+func (s estimates) of(g *group) time.Duration {
+	e, ok := s.queues[g.job.spec.GetQueue()]
+	if ok && e.samples >= minSamples {
+		return e.mean
+	}
+	return time.Duration(g.step.GetEstimateMs()) * time.Millisecond
+}
--- /dev/null
+++ b/dispatch/health.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import "time"
+
+const (
+	// suspectFailures is how many runs of different jobs must fail in a row before an executor is set aside.
+	suspectFailures = 2
+	// firstQuarantine and maxQuarantine bound how long a suspect executor gets no work; it doubles with each relapse.
+	firstQuarantine = 3 * time.Second
+	maxQuarantine   = 12 * time.Second
+)
+
+// health tells an executor that fails everything from one that was given failing jobs.
+type health struct {
+	// failing holds the jobs whose runs failed since the last success.
+	failing map[string]bool
+	// until is when the executor may be tried again.
+	until    time.Duration
+	duration time.Duration
+}
+
+func (h *health) succeeded() {
+	h.failing = nil
+	h.duration = 0
+	h.until = 0
+}
+
+// failed takes note of a failed run and reports whether the executor is set aside.
+func (h *health) failed(job string, now time.Duration) bool {
+	if h.failing == nil {
+		h.failing = map[string]bool{}
+	}
+	h.failing[job] = true
+	if len(h.failing) < suspectFailures {
+		return false
+	}
+	h.setAside(now)
+	return true
+}
+
+// setAside keeps work away for a while; the next failure after that is enough to set the executor aside again.
+func (h *health) setAside(now time.Duration) {
+	h.duration = min(max(2*h.duration, firstQuarantine), maxQuarantine)
+	h.until = now + h.duration
+}
+
+func (h *health) usable(now time.Duration) bool {
+	return now >= h.until
+}
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,193 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+// assignment is the choice of a site for each task of a unit, in order.
+type assignment []*site
+
+// Plan places what waits. It is called after every event.
+func (b *Board) Plan(now Instant) {
+	b.openOccurrences(now)
+	v := b.newView(now)
+	for _, u := range b.units(now) {
+		b.placeUnit(v, u, now)
+	}
+}
+
+// Next returns when a job becomes due, for the caller's timer; false if none does.
+func (b *Board) Next(now Instant) (time.Duration, bool) {
+	next, found := time.Duration(0), false
+	for _, j := range b.jobs {
+		if !j.active() {
+			continue
+		}
+		for occurrence := max(j.opened-1, 0); occurrence <= j.opened && occurrence < j.spec.GetOccurrences(); occurrence++ {
+			wait := time.Duration(j.due(occurrence)-now.Wall) * time.Millisecond
+			if wait > 0 && (!found || wait < next) {
+				next, found = wait, true
+			}
+		}
+	}
+	return next, found
+}
+
+func (b *Board) openOccurrences(now Instant) {
+	for _, j := range b.jobs {
+		for j.active() && j.opened < j.spec.GetOccurrences() && (j.opened == 0 || j.due(j.opened) <= now.Wall) {
+			j.open(j.opened)
+		}
+	}
+}
+
+func (b *Board) placeUnit(v *view, u *unit, now Instant) {
+	racks := b.racks(v, u.group)
+	for _, sites := range b.choices(racks, u) {
+		if chosen := pack(u, sites, freeRoom); chosen != nil {
+			b.assign(v, u, chosen, now)
+			return
+		}
+	}
+	if u.guaranteed {
+		b.reclaim(v, u, racks, now)
+	}
+}
+
+// choices returns the sets of sites to try, the best first. A set that makes the unit run FarFactor times as long is
+// offered only to work that can't wait for a better one.
+func (b *Board) choices(racks [][]*site, u *unit) [][]*site {
+	step := u.group.step
+	all := slices.Concat(racks...)
+	patient := !u.guaranteed && u.waited < b.estimates.of(u.group)
+	near := racks
+	if step.GetDataRack() != "" && len(racks) > 0 && racks[0][0].has(step.GetDataRack()) {
+		near = racks[:1]
+	}
+	var sets [][]*site
+	switch {
+	case step.GetGang() && step.GetSameRack():
+		sets = append(sets, near...)
+	case step.GetDataRack() != "":
+		sets = append(sets, slices.Concat(near...))
+	default:
+		return [][]*site{all}
+	}
+	if patient {
+		return sets
+	}
+	if len(near) < len(racks) && step.GetSameRack() {
+		sets = append(sets, racks[len(near):]...)
+	}
+	return append(sets, all)
+}
+
+// pack places each task on the site that it leaves with the least room, and returns nil if one doesn't fit.
+func pack(u *unit, sites []*site, roomAt func(s *site) room) assignment {
+	need := roomOf(u.group.step)
+	left := make(map[*site]room, len(sites))
+	for _, s := range sites {
+		left[s] = roomAt(s)
+	}
+	taken := spreadOf(u.group)
+	chosen := make(assignment, 0, len(u.tasks))
+	for _, t := range u.tasks {
+		best := bestSite(sites, left, need, t, taken)
+		if best == nil {
+			return nil
+		}
+		left[best] = left[best].minus(need)
+		taken[best.agent]++
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+func freeRoom(s *site) room {
+	return s.free
+}
+
+func bestSite(sites []*site, left map[*site]room, need room, t *task, taken map[string]int) *site {
+	var best *site
+	for _, s := range sites {
+		if !left[s].fits(need) || crowded(t.group.step, taken[s.agent]) {
+			continue
+		}
+		if best == nil || compareSites(s, best, left, t) < 0 {
+			best = s
+		}
+	}
+	return best
+}
+
+// compareSites prefers a site where the task didn't fail, then one without recent failures, then the tightest fit.
+func compareSites(x, y *site, left map[*site]room, t *task) int {
+	return cmp.Or(
+		-compareBool(x.agent == t.failedOn, y.agent == t.failedOn),
+		cmp.Compare(len(x.health.failing), len(y.health.failing)),
+		cmp.Compare(left[x].accelerators, left[y].accelerators),
+		cmp.Compare(left[x].cpu, left[y].cpu),
+		cmp.Compare(x.agent, y.agent),
+	)
+}
+
+// crowded reports whether an executor holds as many tasks of the step as it may.
+func crowded(step *cellpb.Step, taken int) bool {
+	return step.GetSpread() > 0 && taken >= int(step.GetSpread())
+}
+
+// spreadOf counts the group's tasks by agent.
+func spreadOf(g *group) map[string]int {
+	taken := map[string]int{}
+	for _, t := range g.tasks {
+		if t.place != nil {
+			taken[t.place.agent]++
+		}
+	}
+	return taken
+}
+
+func (b *Board) assign(v *view, u *unit, chosen assignment, now Instant) {
+	run := int32(0)
+	for _, t := range u.tasks {
+		run = max(run, t.run)
+	}
+	checkpoint := gangCheckpoint(u)
+	need := roomOf(u.group.step)
+	for i, t := range u.tasks {
+		s := chosen[i]
+		s.free = s.free.minus(need)
+		t.run = run + 1
+		if u.group.step.GetGang() {
+			t.checkpoint = checkpoint
+		}
+		t.place = &placement{
+			task:    t,
+			run:     t.run,
+			agent:   s.agent,
+			life:    s.life,
+			batch:   b.batch,
+			ordered: now.Boot,
+			started: now.Boot,
+			moved:   now.Boot,
+			saved:   now.Boot,
+		}
+		b.config.Log("order", "task", t.id.String(), "run", t.run, "agent", s.agent, "executor", s.life,
+			"config", b.operations.Config.Version, "reported", (now.Boot - s.heard).Milliseconds(),
+			"guaranteed", u.guaranteed, "slack", u.slack.Milliseconds())
+	}
+	u.group.job.dirty = true
+}
+
+// gangCheckpoint returns the checkpoint with which all members of a gang start: any member's is valid for all.
+func gangCheckpoint(u *unit) string {
+	newest := ""
+	for _, t := range u.tasks {
+		newest = max(newest, t.checkpoint)
+	}
+	return newest
+}
--- /dev/null
+++ b/dispatch/reclaim.go
@@ -0,0 +1,149 @@
+package dispatch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// reclamation is a way to make room for a unit.
+type reclamation struct {
+	chosen assignment
+	stops  []*placement
+	waste  float64
+}
+
+// reclaim stops borrowed work so that guaranteed work can begin within its time limit. It answers the load in which
+// other workspaces fill the cell before a burst of guaranteed work comes. The room that is being freed is kept for the
+// unit, also in the passes until it is free.
+func (b *Board) reclaim(v *view, u *unit, racks [][]*site, now Instant) {
+	var best *reclamation
+	for _, sites := range b.choices(racks, u) {
+		found := b.tryReclaim(v, u, sites, now)
+		if found == nil {
+			continue
+		}
+		// The sets come with the best first; a later one, where the work runs longer, must save much.
+		if best == nil || found.waste < best.waste/b.config.FarFactor {
+			best = found
+		}
+	}
+	if best == nil {
+		return
+	}
+	need := roomOf(u.group.step)
+	for _, s := range best.chosen {
+		s.free = s.free.minus(need)
+	}
+	for _, place := range best.stops {
+		b.config.Log("reclaim", "for", u.tasks[0].id.String(), "task", place.task.id.String(), "run", place.run,
+			"agent", place.agent, "waste", waste(place, now))
+		b.stop(place)
+	}
+}
+
+// tryReclaim finds, task by task, the site where the least work has to be stopped.
+func (b *Board) tryReclaim(v *view, u *unit, sites []*site, now Instant) *reclamation {
+	found := &reclamation{}
+	need := roomOf(u.group.step)
+	left := map[*site]room{}
+	for _, s := range v.sites {
+		left[s] = s.free.plus(s.ending)
+	}
+	stopped := map[*placement]bool{}
+	taken := spreadOf(u.group)
+	for range u.tasks {
+		s, stops := b.cheapest(v, u, sites, left, stopped, taken, now)
+		if s == nil {
+			return nil
+		}
+		for _, place := range stops {
+			stopped[place] = true
+			if at, ok := v.byLife[place.life]; ok {
+				left[at] = left[at].plus(roomOf(place.task.group.step))
+			}
+		}
+		found.stops = append(found.stops, stops...)
+		found.waste += wasteOf(stops, now)
+		left[s] = left[s].minus(need)
+		taken[s.agent]++
+		found.chosen = append(found.chosen, s)
+	}
+	return found
+}
+
+func (b *Board) cheapest(
+	v *view, u *unit, sites []*site, left map[*site]room, stopped map[*placement]bool, taken map[string]int, now Instant,
+) (*site, []*placement) {
+	var best *site
+	var bestStops []*placement
+	for _, s := range sites {
+		if crowded(u.group.step, taken[s.agent]) {
+			continue
+		}
+		stops, ok := b.stopsAt(s, u, left[s], stopped, now)
+		if !ok {
+			continue
+		}
+		better := best == nil || cmp.Or(
+			cmp.Compare(wasteOf(stops, now), wasteOf(bestStops, now)),
+			cmp.Compare(len(stops), len(bestStops)),
+			cmp.Compare(left[s].accelerators, left[best].accelerators),
+		) < 0
+		if better {
+			best, bestStops = s, stops
+		}
+	}
+	return best, bestStops
+}
+
+// stopsAt returns what to stop at a site so that one task fits, the least waste first.
+func (b *Board) stopsAt(s *site, u *unit, left room, stopped map[*placement]bool, now Instant) ([]*placement, bool) {
+	need := roomOf(u.group.step)
+	if left.fits(need) {
+		return nil, true
+	}
+	needs := b.guaranteedNeeds()
+	var borrowed []*placement
+	b.eachPlacement(func(place *placement) {
+		if place.life == s.life && !place.stopping && !stopped[place] && b.borrows(place, needs) {
+			borrowed = append(borrowed, place)
+		}
+	})
+	slices.SortFunc(borrowed, func(x, y *placement) int {
+		return cmp.Or(
+			cmp.Compare(wasteOf(victims(x), now), wasteOf(victims(y), now)),
+			cmp.Compare(x.task.id.String(), y.task.id.String()),
+		)
+	})
+	chosen := map[*placement]bool{}
+	for _, place := range borrowed {
+		if left.fits(need) {
+			break
+		}
+		if chosen[place] {
+			continue
+		}
+		for _, victim := range victims(place) {
+			if !stopped[victim] {
+				chosen[victim] = true
+			}
+			if victim.life == s.life {
+				left = left.plus(roomOf(victim.task.group.step))
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Keys(chosen), func(x, y *placement) int {
+		return cmp.Compare(x.task.id.String(), y.task.id.String())
+	}), left.fits(need)
+}
+
+// borrows reports whether a run may be stopped for guaranteed work.
+func (b *Board) borrows(place *placement, needs map[string]int64) bool {
+	g := place.task.group
+	if g.step.GetPersistent() || g.done() {
+		return false
+	}
+	spec := g.job.spec
+	return b.priority(spec) > 0 || needs[spec.GetWorkspace()] > b.operations.Config.Guaranteed(spec.GetWorkspace())
+}
--- /dev/null
+++ b/dispatch/unit.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+// hopelessFactor times its objective is when a job is worth nothing any more.
+const hopelessFactor = 3
+
+// unit is what is placed together: a gang, or one task.
+type unit struct {
+	group *group
+	tasks []*task
+	// guaranteed work may stop other work to begin at once.
+	guaranteed bool
+	priority   int
+	// hopeless units are too late to be worth anything.
+	hopeless bool
+	// slack is the time until the unit has to start to meet its objective.
+	slack time.Duration
+	// waited is the time since the job was seen.
+	waited time.Duration
+}
+
+// units returns what waits, in the order in which it is placed.
+func (b *Board) units(now Instant) []*unit {
+	needs := b.guaranteedNeeds()
+	var units []*unit
+	for _, j := range b.jobs {
+		if !j.active() || j.cancelled {
+			continue
+		}
+		for _, g := range j.groups {
+			if now.Boot < g.retryAt || !g.ready(now) {
+				continue
+			}
+			for _, tasks := range waiting(g) {
+				units = append(units, b.newUnit(g, tasks, needs, now))
+			}
+		}
+	}
+	slices.SortFunc(units, compareUnits)
+	return units
+}
+
+// waiting returns the sets of tasks of a group that can be placed now.
+func waiting(g *group) [][]*task {
+	if g.step.GetGang() {
+		if g.done() || !g.idle() {
+			return nil
+		}
+		return [][]*task{g.tasks}
+	}
+	var sets [][]*task
+	for _, t := range g.tasks {
+		if !t.done && t.place == nil {
+			sets = append(sets, []*task{t})
+		}
+	}
+	return sets
+}
+
+func (b *Board) newUnit(g *group, tasks []*task, needs map[string]int64, now Instant) *unit {
+	spec := g.job.spec
+	objective := b.objective(g.job)
+	accepted := max(spec.GetAcceptedMs(), g.job.due(g.occurrence))
+	age := max(time.Duration(now.Wall-accepted)*time.Millisecond, now.Boot-g.job.seen)
+	workspace := spec.GetWorkspace()
+	return &unit{
+		group:      g,
+		tasks:      tasks,
+		priority:   b.priority(spec),
+		guaranteed: b.priority(spec) == 0 && needs[workspace] <= b.operations.Config.Guaranteed(workspace),
+		hopeless:   age > hopelessFactor*objective,
+		slack:      objective - age - b.estimates.of(g),
+		waited:     now.Boot - g.job.seen,
+	}
+}
+
+// objective is the time in which a job should be done.
+func (b *Board) objective(j *job) time.Duration {
+	stretch, slack := j.spec.GetStretch(), time.Duration(j.spec.GetSlackMs())*time.Millisecond
+	if stretch == 0 {
+		stretch = 1
+	}
+	return time.Duration(stretch*float64(b.chain(j))) + slack
+}
+
+// chain is the longest chain of expected run times through a job's steps.
+func (b *Board) chain(j *job) time.Duration {
+	ends := make([]time.Duration, len(j.spec.GetSteps()))
+	longest := time.Duration(0)
+	for i, step := range j.spec.GetSteps() {
+		for _, earlier := range step.GetDependsOn() {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += b.estimates.of(&group{
+			job:  j,
+			step: step,
+		})
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func (b *Board) priority(spec *cellpb.Job) int {
+	if queue, ok := b.operations.Config.Queue(spec.GetQueue()); ok {
+		return queue.Priority
+	}
+	return int(spec.GetPriority())
+}
+
+// guaranteedNeeds returns, by workspace, the accelerators that all its unfinished work of priority 0 needs.
+func (b *Board) guaranteedNeeds() map[string]int64 {
+	needs := map[string]int64{}
+	for _, j := range b.jobs {
+		if !j.active() || b.priority(j.spec) != 0 {
+			continue
+		}
+		most := int64(0)
+		for _, step := range j.spec.GetSteps() {
+			most = max(most, int64(step.GetCount())*step.GetAccelerators())
+		}
+		needs[j.spec.GetWorkspace()] += most
+	}
+	return needs
+}
+
+func compareUnits(x, y *unit) int {
+	return cmp.Or(
+		compareBool(x.guaranteed, y.guaranteed),
+		-compareBool(x.hopeless, y.hopeless),
+		cmp.Compare(x.priority, y.priority),
+		cmp.Compare(x.slack, y.slack),
+		cmp.Compare(x.tasks[0].id.String(), y.tasks[0].id.String()),
+	)
+}
+
+// compareBool puts true first.
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/dispatch/view.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+// site is an executor during one pass of the planner.
+type site struct {
+	*executor
+	// free is the room that nothing takes.
+	free room
+	// ending is the room of runs that are being stopped.
+	ending room
+	// usable sites take new work now.
+	usable bool
+}
+
+// view is the cell during one pass of the planner.
+type view struct {
+	sites  []*site
+	byLife map[string]*site
+}
+
+func (b *Board) newView(now Instant) *view {
+	v := &view{
+		byLife: map[string]*site{},
+	}
+	for _, e := range b.executors {
+		if e.state == nil || !e.confirmed {
+			continue
+		}
+		s := &site{
+			executor: e,
+			free:     e.capacity(),
+			usable:   b.usable(e, now),
+		}
+		v.sites = append(v.sites, s)
+		v.byLife[e.life] = s
+	}
+	slices.SortFunc(v.sites, func(x, y *site) int { return strings.Compare(x.agent, y.agent) })
+	b.eachPlacement(func(place *placement) {
+		s, ok := v.byLife[place.life]
+		if !ok {
+			return
+		}
+		need := roomOf(place.task.group.step)
+		s.free = s.free.minus(need)
+		if place.stopping {
+			s.ending = s.ending.plus(need)
+		}
+	})
+	return v
+}
+
+func (b *Board) usable(e *executor, now Instant) bool {
+	return now.Boot-e.heard <= b.config.Silence &&
+		!e.state.GetDraining() &&
+		!e.state.GetGone() &&
+		!b.operations.Evacuated[e.state.GetZone()] &&
+		e.health.usable(now.Boot) &&
+		now.Boot >= e.holdOff
+}
+
+// service returns the service that runs a job's tasks.
+func (b *Board) service(spec *cellpb.Job) string {
+	if queue, ok := b.operations.Config.Queue(spec.GetQueue()); ok {
+		return queue.Service
+	}
+	return spec.GetService()
+}
+
+// suits reports whether an executor may ever run the step.
+func (b *Board) suits(e *executor, g *group) bool {
+	return e.state.GetService() == b.service(g.job.spec) &&
+		e.has(g.step.GetRequiredLabel()) &&
+		e.capacity().fits(roomOf(g.step))
+}
+
+// racks returns the usable sites that suit a group, by rack, the rack of its data first.
+func (b *Board) racks(v *view, g *group) [][]*site {
+	byRack := map[string][]*site{}
+	var names []string
+	for _, s := range v.sites {
+		if !s.usable || !b.suits(s.executor, g) {
+			continue
+		}
+		if _, ok := byRack[s.rack()]; !ok {
+			names = append(names, s.rack())
+		}
+		byRack[s.rack()] = append(byRack[s.rack()], s)
+	}
+	near := g.step.GetDataRack()
+	slices.SortStableFunc(names, func(x, y string) int {
+		switch {
+		case x == near && y != near:
+			return -1
+		case y == near && x != near:
+			return 1
+		}
+		return strings.Compare(x, y)
+	})
+	racks := make([][]*site, 0, len(names))
+	for _, name := range names {
+		racks = append(racks, byRack[name])
+	}
+	return racks
+}
+
+// waste is the work, in core-seconds, that is thrown away when the runs of a victim are stopped.
+func waste(place *placement, now Instant) float64 {
+	step := place.task.group.step
+	since := place.started
+	if step.GetCheckpoints() {
+		since = place.saved
+	}
+	if !place.running {
+		since = now.Boot
+	}
+	cores := float64(step.GetCpu())/1000 + acceleratorCores*float64(step.GetAccelerators())
+	return cores * max(now.Boot-since, 0).Seconds()
+}
+
+// acceleratorCores is what one accelerator counts in cores.
+const acceleratorCores = 8
+
+func wasteOf(places []*placement, now Instant) float64 {
+	total := 0.0
+	for _, place := range places {
+		total += waste(place, now)
+	}
+	return total
+}
+
+// victims returns what has to be stopped to stop one run: the run, or its gang.
+func victims(place *placement) []*placement {
+	g := place.task.group
+	if !g.step.GetGang() {
+		return []*placement{place}
+	}
+	var places []*placement
+	for _, t := range g.tasks {
+		if t.place != nil && !t.place.stopping {
+			places = append(places, t.place)
+		}
+	}
+	return places
+}
+
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+
+	"radishpath.example/radishpath/cell"
+	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/mirror"
+)
+
+// forwardLimit bounds a call that is passed on to the scheduler.
+const forwardLimit = 1500 * time.Millisecond
+
+// PeersConfig configures Peers.
+type PeersConfig struct {
+	// Address is this entry's own.
+	Address string
+	// Seeds are other entries that the settings name.
+	Seeds  []string
+	Logger hclog.Logger
+	Mirror *mirror.Mirror
+	// Report hands a report to the scheduler of this process; false if it isn't the cell's.
+	Report func(ctx context.Context, report *cellpb.Report) (*cellpb.Orders, bool)
+	// Append stores entries in the cell's log.
+	Append func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, at int64) (int64, error)
+	// Exchange makes a call of the peer protocol.
+	Exchange func(ctx context.Context, address string, request, reply proto.Message) error
+}
+
+// Peers answers the calls of agents and other entries, and asks other entries.
+type Peers struct {
+	config PeersConfig
+}
+
+// NewPeers returns the peers' side of an entry.
+func NewPeers(config PeersConfig) *Peers {
+	return &Peers{
+		config: config,
+	}
+}
+
+// Answer answers a call.
+func (p *Peers) Answer(ctx context.Context, request *cellpb.Request) *cellpb.Reply {
+	switch body := request.GetBody().(type) {
+	case *cellpb.Request_Report:
+		return p.report(ctx, request, body.Report)
+	case *cellpb.Request_Append:
+		return p.append(ctx, body.Append)
+	}
+	return &cellpb.Reply{
+		Error: "unknown request",
+	}
+}
+
+// Relay asks the other entries, one after the other, to store an entry.
+func (p *Peers) Relay(ctx context.Context, request *cellpb.Append) error {
+	failure := error(nil)
+	for _, address := range p.others() {
+		reply := &cellpb.Reply{}
+		err := p.config.Exchange(ctx, address, &cellpb.Request{Body: &cellpb.Request_Append{Append: request}}, reply)
+		switch {
+		case err == nil && reply.GetAppended().GetStored():
+			return nil
+		case err == nil && reply.GetError() == "":
+			failure = errors.Join(failure, fmt.Errorf("%s: %w", address, cell.ErrRefused))
+		default:
+			failure = errors.Join(failure, fmt.Errorf("%s: %s: %w: %w", address, reply.GetError(), cell.ErrUnknown, err))
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if failure == nil {
+		return fmt.Errorf("no other entry: %w", cell.ErrRefused)
+	}
+	if errors.Is(failure, cell.ErrUnknown) {
+		return fmt.Errorf("relay: %w", cell.ErrUnknown)
+	}
+	return failure
+}
+
+func (p *Peers) append(ctx context.Context, request *cellpb.Append) *cellpb.Reply {
+	_, err := p.config.Append(ctx, []cell.Entry{{Key: request.GetKey(), Value: request.GetValue()}}, nil, -1)
+	reply := &cellpb.Reply{
+		Body: &cellpb.Reply_Appended{
+			Appended: &cellpb.Appended{
+				Stored: err == nil,
+			},
+		},
+	}
+	if err != nil && !errors.Is(err, cell.ErrRefused) {
+		reply.Error = err.Error()
+	}
+	return reply
+}
+
+func (p *Peers) report(ctx context.Context, request *cellpb.Request, report *cellpb.Report) *cellpb.Reply {
+	orders, ok := p.config.Report(ctx, report)
+	if ok {
+		return ordersReply(orders)
+	}
+	claim, _ := p.config.Mirror.Claim()
+	if report.GetHops() > 0 || claim.GetAddress() == p.config.Address || claim.GetResigned() {
+		return ordersReply(p.nobody())
+	}
+	report.Hops++
+	reply := &cellpb.Reply{}
+	ctx, cancel := context.WithTimeout(ctx, forwardLimit)
+	defer cancel()
+	if err := p.config.Exchange(ctx, claim.GetAddress(), request, reply); err != nil {
+		p.config.Logger.Warn("forward", "agent", report.GetAgent(), "scheduler", claim.GetAddress(), "error", err)
+		return ordersReply(p.nobody())
+	}
+	return reply
+}
+
+// nobody is the answer while no scheduler can be reached.
+func (p *Peers) nobody() *cellpb.Orders {
+	return &cellpb.Orders{
+		Entries: p.others(),
+	}
+}
+
+func (p *Peers) others() []string {
+	var members []string
+	p.config.Mirror.View(func(state *cell.State) { members = state.Members() })
+	seen := map[string]bool{
+		p.config.Address: true,
+	}
+	var others []string
+	for _, address := range append(members, p.config.Seeds...) {
+		if !seen[address] {
+			seen[address] = true
+			others = append(others, address)
+		}
+	}
+	return others
+}
+
+func ordersReply(orders *cellpb.Orders) *cellpb.Reply {
+	return &cellpb.Reply{
+		Body: &cellpb.Reply_Orders{
+			Orders: orders,
+		},
+	}
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/yamux"
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"radishpath.example/radishpath/peer/peerpb"
 )
@@ -37,6 +38,8 @@
 	TLS *tls.Config
 	// Dial replaces the TCP dialer.
 	Dial DialFunc
+	// MaxTimeouts closes a session after that many calls in a row without a reply; 0 means the default of 3.
+	MaxTimeouts int
 }
 
 // Pool keeps one session per address and makes calls over it.
@@ -51,6 +54,9 @@
 	if config.Logger == nil {
 		config.Logger = hclog.NewNullLogger()
 	}
+	if config.MaxTimeouts == 0 {
+		config.MaxTimeouts = maxTimeouts
+	}
 	if config.Dial == nil {
 		dialer := &net.Dialer{
 			Timeout: dialTimeout,
@@ -66,36 +72,49 @@
 // Call sends a request and waits for its reply until ctx ends. Errors wrap ErrNotSent when the peer cannot have
 // seen the request and ErrRemote when the peer refused it; otherwise the outcome is unknown.
 func (p *Pool) Call(ctx context.Context, address string, request *peerpb.Request) (*peerpb.Reply, error) {
+	reply := &peerpb.Reply{}
+	if err := p.Exchange(ctx, address, request, reply); err != nil {
+		return nil, err
+	}
+	if reply.GetError() != "" {
+		return nil, fmt.Errorf("call %s: %w: %s", address, ErrRemote, reply.GetError())
+	}
+	return reply, nil
+}
+
+// Close ends every session.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.close()
+	}
+}
+
+// Exchange sends a message of any protocol and reads the answer into reply. Its errors are those of Call but for
+// ErrRemote.
+func (p *Pool) Exchange(ctx context.Context, address string, request, reply proto.Message) error {
 	if address == "" {
-		return nil, fmt.Errorf("call peer: empty address: %w", ErrNotSent)
+		return fmt.Errorf("call peer: empty address: %w", ErrNotSent)
 	}
 	session, err := p.link(address).open(ctx)
 	if err != nil {
-		return nil, fmt.Errorf("call %s: %w: %w", address, ErrNotSent, err)
+		return fmt.Errorf("call %s: %w: %w", address, ErrNotSent, err)
 	}
 	stream, err := session.OpenStream()
 	if err != nil {
 		_ = session.Close()
-		return nil, fmt.Errorf("call %s: open stream: %w: %w", address, ErrNotSent, err)
+		return fmt.Errorf("call %s: open stream: %w: %w", address, ErrNotSent, err)
 	}
 	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	reply, err := exchange(ctx, stream, request)
+	err = exchange(ctx, stream, request, reply)
 	p.link(address).record(session, err)
 	if err != nil {
-		return nil, fmt.Errorf("call %s: %w", address, err)
-	}
-	return reply, nil
-}
-
-// Close ends every session.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range p.links {
-		l.close()
+		return fmt.Errorf("call %s: %w", address, err)
 	}
+	return nil
 }
 
 // Forget closes the session to an address and drops what is known of it.
@@ -119,29 +138,25 @@
 	return l
 }
 
-func exchange(ctx context.Context, stream *yamux.Stream, request *peerpb.Request) (*peerpb.Reply, error) {
+func exchange(ctx context.Context, stream *yamux.Stream, request, reply proto.Message) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = stream.SetDeadline(deadline)
 	}
-	reply := &peerpb.Reply{}
 	err := writeMessage(stream, request)
 	if err == nil {
 		err = readMessage(stream, reply)
 	}
 	switch {
 	case err == nil:
+		return nil
 	case ctx.Err() != nil:
-		return nil, fmt.Errorf("await reply: %w", context.Cause(ctx))
+		return fmt.Errorf("await reply: %w", context.Cause(ctx))
 	case errors.Is(err, yamux.ErrTimeout):
 		// The stream's deadline is the context's, and may fire a moment before it.
-		return nil, fmt.Errorf("await reply: %w", context.DeadlineExceeded)
+		return fmt.Errorf("await reply: %w", context.DeadlineExceeded)
 	default:
-		return nil, err
-	}
-	if reply.GetError() != "" {
-		return nil, fmt.Errorf("%w: %s", ErrRemote, reply.GetError())
+		return err
 	}
-	return reply, nil
 }
 
 // link is the connection to one address.
@@ -230,7 +245,7 @@
 		return
 	}
 	l.timeouts++
-	if l.timeouts < maxTimeouts {
+	if l.timeouts < l.config.MaxTimeouts {
 		return
 	}
 	l.timeouts = 0
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
 
 	"radishpath.example/radishpath/peer/peerpb"
 )
@@ -18,10 +19,15 @@
 // HandleFunc answers one request. It must not return nil.
 type HandleFunc func(ctx context.Context, request *peerpb.Request) *peerpb.Reply
 
+// AnswerFunc reads a request of any protocol with read and returns the reply.
+type AnswerFunc func(ctx context.Context, read func(request proto.Message) error) (proto.Message, error)
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Logger hclog.Logger
 	Handle HandleFunc
+	// Answer replaces Handle for other protocols than peerpb's.
+	Answer AnswerFunc
 	// TLS turns on mutual TLS; nil means plain TCP.
 	TLS *tls.Config
 }
@@ -36,11 +42,24 @@
 	if config.Logger == nil {
 		config.Logger = hclog.NewNullLogger()
 	}
+	if config.Answer == nil {
+		config.Answer = answerWith(config.Handle)
+	}
 	return &Server{
 		config: config,
 	}
 }
 
+func answerWith(handle HandleFunc) AnswerFunc {
+	return func(ctx context.Context, read func(proto.Message) error) (proto.Message, error) {
+		request := &peerpb.Request{}
+		if err := read(request); err != nil {
+			return nil, err
+		}
+		return handle(ctx, request), nil
+	}
+}
+
 // Serve accepts connections until ctx ends, then closes them and waits for the handlers.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	if s.config.TLS != nil {
@@ -88,12 +107,12 @@
 
 func (s *Server) serveStream(ctx context.Context, stream net.Conn) {
 	defer func() { _ = stream.Close() }()
-	request := &peerpb.Request{}
-	if err := readMessage(stream, request); err != nil {
+	reply, err := s.config.Answer(ctx, func(request proto.Message) error { return readMessage(stream, request) })
+	if err != nil {
 		s.config.Logger.Warn("read request", "error", err)
 		return
 	}
-	if err := writeMessage(stream, s.config.Handle(ctx, request)); err != nil {
+	if err = writeMessage(stream, reply); err != nil {
 		s.config.Logger.Warn("write reply", "error", err)
 	}
 }
--- /dev/null
+++ b/scheduler/config.go
@@ -0,0 +1,56 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"radishpath.example/radishpath/boottime"
+	"radishpath.example/radishpath/cell"
+	"radishpath.example/radishpath/dispatch"
+	"radishpath.example/radishpath/mirror"
+)
+
+const (
+	// producer is the name under which the cell's log fences the scheduler.
+	producer = "scheduler"
+	// heartbeat is how long the scheduler writes nothing at most.
+	heartbeat = 300 * time.Millisecond
+	// silence is how long the scheduler may be silent in the log before an entry claims its place.
+	silence = time.Second
+	// Validity is how long after its last confirmed append a scheduler extends leases.
+	Validity = 3 * time.Second
+	// tick is how often time limits are checked.
+	tick = 100 * time.Millisecond
+	// pollWait is how long an agent's call waits for orders.
+	pollWait = time.Second
+	// firstAppendLimit and maxAppendLimit bound one append; the limit doubles with each silence, since a slow log must
+	// get the time to answer.
+	firstAppendLimit = 500 * time.Millisecond
+	maxAppendLimit   = 3 * time.Second
+	firstAppendPause = 20 * time.Millisecond
+	maxAppendPause   = 300 * time.Millisecond
+)
+
+// Config configures a Scheduler.
+type Config struct {
+	// Holder is unique to one run of the process.
+	Holder string
+	// Address is where this entry answers calls of the peer protocol.
+	Address string
+	Logger  hclog.Logger
+	Clock   clockwork.Clock
+	Boot    boottime.Clock
+	Metrics tally.Scope
+	Mirror  *mirror.Mirror
+	// Next returns the offset up to which the mirror has read the cell's log.
+	Next func() int64
+	// Await waits until the mirror has read beyond an offset.
+	Await func(ctx context.Context, offset int64) error
+	// Append stores entries in the cell's log.
+	Append   func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, at int64) (int64, error)
+	Dispatch dispatch.Config
+}
--- /dev/null
+++ b/settings/cell.go
@@ -0,0 +1,126 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"radishpath.example/radishpath/inifile"
+)
+
+// Bounds of the keys of a cell's processes.
+const (
+	leastLimit   = 100 * time.Millisecond
+	maxMemoryMB  = 1 << 20
+	maxFarFactor = 100
+)
+
+// CellSettings are the settings of an entry or an agent of a cell.
+type CellSettings struct {
+	ID   string
+	Zone string
+	// Listen is the address of the peer protocol.
+	Listen string
+	// Admin is the HTTP address of metrics and profiles.
+	Admin string
+	// Store is the address of the metadata store.
+	Store string
+	// Entries are the addresses of the peer protocol of the entries known at the start.
+	Entries []string
+	// Memory is what the process may use, in MB.
+	Memory int
+	Log    LogSettings
+	// Caller and Ready are addresses of an entry.
+	Caller string
+	Ready  string
+	// Revoke is how long after its removal a key may open something.
+	Revoke time.Duration
+	// Grace is how long a process has to stop.
+	Grace time.Duration
+	// Stop is how long a task takes to stop.
+	Stop time.Duration
+	// Gang is how long the members of a gang wait for each other.
+	Gang time.Duration
+	// Keep is how long the state of an ended job is told.
+	Keep time.Duration
+	// Far is how much longer a task takes away from its data.
+	Far int
+	// Control and Executor are addresses of an agent: where heartbeats come, and where orders go.
+	Control  string
+	Executor string
+}
+
+// ParseCellEntry reads the settings of an entry of a cell.
+func ParseCellEntry(name string, text []byte) (CellSettings, error) {
+	file := inifile.Parse(name, text)
+	file.Known([]string{"cell", "log"})
+	reader := file.Reader(file.First("cell"))
+	read := readCell(file, reader)
+	read.Caller = readAddress(reader, "caller", "127.0.0.1:7080")
+	read.Ready = readAddress(reader, "ready", "127.0.0.1:7081")
+	read.Revoke = reader.Duration("revoke", 5*time.Second, leastLimit)
+	read.Grace = reader.Duration("grace", 6*time.Second, leastLimit)
+	read.Stop = reader.Duration("stop", 200*time.Millisecond, 0)
+	read.Gang = reader.Duration("gang", 3*time.Second, leastLimit)
+	read.Keep = reader.Duration("keep", 2*time.Minute, leastLimit)
+	read.Far = reader.Int("far", 1, 1, maxFarFactor)
+	reader.Finish()
+	return read, file.Err()
+}
+
+// ParseCellAgent reads the settings of an agent of a cell.
+func ParseCellAgent(name string, text []byte) (CellSettings, error) {
+	file := inifile.Parse(name, text)
+	file.Known([]string{"cell", "log"})
+	reader := file.Reader(file.First("cell"))
+	read := readCell(file, reader)
+	read.Control = readAddress(reader, "control", "127.0.0.1:7082")
+	read.Executor = readAddress(reader, "executor", "127.0.0.1:8000")
+	reader.Finish()
+	return read, file.Err()
+}
+
+// ReadCell reads the settings of a cell's process from a file with one of the parsers.
+func ReadCell(
+	system System, path string, parse func(name string, text []byte) (CellSettings, error),
+) (CellSettings, error) {
+	text, err := system.ReadFile(path)
+	if err != nil {
+		return CellSettings{}, fmt.Errorf("settings: %w", err)
+	}
+	return parse(path, text)
+}
+
+func readCell(file *inifile.File, reader *inifile.Reader) CellSettings {
+	read := CellSettings{
+		ID:     readRequired(reader, "id", "the name of this process"),
+		Zone:   readRequired(reader, "zone", "the availability zone of this process"),
+		Listen: readDialed(reader, "listen", "127.0.0.1:7000"),
+		Admin:  readAddress(reader, "admin", "127.0.0.1:7001"),
+		Store:  readAddress(reader, "store", "127.0.0.1:7070"),
+		Memory: reader.Int("memory", 0, 0, maxMemoryMB),
+		Log:    readLog(file),
+	}
+	read.Entries = readSeeds(reader, read.Listen)
+	return read
+}
+
+// readSeeds reads addresses of entries. Their ports may be those of another service: all processes of a cell answer
+// the peer protocol on the same port.
+func readSeeds(reader *inifile.Reader, listen string) []string {
+	_, port, err := net.SplitHostPort(listen)
+	if err != nil {
+		return nil
+	}
+	var seeds []string
+	for _, seed := range reader.List("seeds") {
+		host, _, splitErr := net.SplitHostPort(seed)
+		if splitErr != nil {
+			reader.Bad("seeds", "%q is no IP:port", seed)
+			continue
+		}
+		seeds = append(seeds, net.JoinHostPort(host, port))
+	}
+	return seeds
+}
+
