--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -76,7 +76,7 @@
 // TakeBatch returns what has to be stored, or a batch without content.
 func (b *Board) TakeBatch() Batch {
 	taken := Batch{
-		Number: b.batch,
+		Number: b.batch - 1,
 		Drops:  b.drops,
 	}
 	for _, j := range b.jobs {
@@ -87,7 +87,9 @@
 		taken.Progress = append(taken.Progress, j.progress())
 	}
 	b.drops = nil
-	if len(taken.Progress) > 0 || len(taken.Drops) > 0 {
+	// An empty batch has the number of the one before: storing it must not count for decisions that came since.
+	if !taken.Empty() {
+		taken.Number = b.batch
 		b.batch++
 	}
 	return taken
--- /dev/null
+++ b/dispatch/board_test.go
@@ -0,0 +1,183 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishpath.example/radishpath/cell"
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+const testEpoch = 7
+
+// rig drives a board with executors that do what they are told.
+type rig struct {
+	t     *testing.T
+	board *Board
+	now   Instant
+	// sequence numbers the reports.
+	sequence uint64
+	ends     map[string]int64
+	// clocks are the executors' clocks in milliseconds.
+	started time.Duration
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	now := Instant{
+		Boot: time.Minute,
+		Wall: 1_700_000_000_000,
+	}
+	board := New(Config{
+		Grant:       10 * time.Second,
+		Predecessor: 3 * time.Second,
+		FarFactor:   3,
+	}, now)
+	board.SetOperations(cell.Operations{
+		Known: true,
+		Config: cell.Config{
+			Version: 1,
+			Queues: []cell.Queue{
+				{Name: "quotes", Service: "desk", Priority: 0, MaxFailures: 2, Stretch: 1.5},
+				{Name: "renders", Service: "desk", Priority: 1, MaxFailures: 2, Stretch: 3},
+				{Name: "checks", Service: "desk", Priority: 2, MaxFailures: 2, Stretch: 3},
+			},
+			Workspaces: []cell.Workspace{
+				{Name: "weddings", Guaranteed: 16},
+				{Name: "schools", Guaranteed: 8},
+			},
+		},
+	})
+	return &rig{
+		t:       t,
+		board:   board,
+		now:     now,
+		ends:    map[string]int64{},
+		started: now.Boot,
+	}
+}
+
+func (r *rig) pass(d time.Duration) {
+	r.now.Boot += d
+	r.now.Wall += d.Milliseconds()
+}
+
+// state returns an executor with 8 accelerators and 32 cores.
+func (r *rig) state(agent, rack string) *cellpb.Executor {
+	return &cellpb.Executor{
+		Id:           "i-" + agent,
+		Born:         1,
+		Service:      "desk",
+		Zone:         "suva",
+		Cpu:          32000,
+		MemoryMb:     64000,
+		Accelerators: 8,
+		Labels:       []string{"a", rack},
+		ClockMs:      (r.now.Boot - r.started).Milliseconds(),
+	}
+}
+
+func (r *rig) report(agent, rack string, change func(report *cellpb.Report)) *cellpb.Orders {
+	r.t.Helper()
+	r.sequence++
+	report := &cellpb.Report{
+		Agent:    agent,
+		Process:  1,
+		Sequence: r.sequence,
+		Epoch:    testEpoch,
+		Executor: r.state(agent, rack),
+	}
+	if change != nil {
+		change(report)
+	}
+	require.True(r.t, r.board.Report(report, testEpoch, r.now))
+	return r.board.Orders(agent, r.now)
+}
+
+func (r *rig) submit(job *cellpb.Job) {
+	job.AcceptedMs = r.now.Wall
+	job.Occurrences = max(job.GetOccurrences(), 1)
+	r.board.SetJob(cell.Tracked{
+		Job: job,
+	}, r.now)
+}
+
+// store plans, stores and commits.
+func (r *rig) store() Batch {
+	r.board.Expire(r.now)
+	r.board.Plan(r.now)
+	batch := r.board.TakeBatch()
+	r.board.Commit(batch.Number)
+	return batch
+}
+
+func oneTask(id, queue, workspace string, accelerators int64) *cellpb.Job {
+	return &cellpb.Job{
+		Id:        id,
+		Queue:     queue,
+		Service:   "desk",
+		Workspace: workspace,
+		Steps: []*cellpb.Step{
+			{
+				Count:        1,
+				Cpu:          1000,
+				MemoryMb:     1000,
+				Accelerators: accelerators,
+				EstimateMs:   2000,
+			},
+		},
+	}
+}
+
+// ended reports the end of a task as the only one.
+func ended(number int64, task string, run int32, kind cellpb.EndKind) func(report *cellpb.Report) {
+	return func(report *cellpb.Report) {
+		report.Ended = []*cellpb.EndedTask{
+			{
+				Number: number,
+				Task:   task,
+				Run:    run,
+				Kind:   kind,
+			},
+		}
+	}
+}
+
+// A heartbeat that is stored while a decision waits for its batch must not count as that batch: its orders would leave,
+// and its ends be forgotten by the executor, before the log holds them.
+func TestEmptyBatchCommitsNothing(t *testing.T) {
+	r := newRig(t)
+	r.report("agent-1", "r1", nil)
+	heartbeat := r.board.TakeBatch()
+	require.True(t, heartbeat.Empty())
+
+	r.submit(oneTask("a000000000000001", "quotes", "weddings", 1))
+	r.board.Plan(r.now)
+	r.board.Commit(heartbeat.Number)
+	require.Empty(t, r.board.Orders("agent-1", r.now).GetStarts(), "the order isn't stored yet")
+
+	batch := r.board.TakeBatch()
+	require.Len(t, batch.Progress, 1)
+	r.board.Commit(batch.Number)
+	require.Len(t, r.board.Orders("agent-1", r.now).GetStarts(), 1)
+}
+
+// An executor forgets all ends up to the acknowledged one, so a stored end must not acknowledge an earlier one that
+// isn't stored.
+func TestEndsAreAcknowledgedInOrder(t *testing.T) {
+	r := newRig(t)
+	r.report("agent-1", "r1", nil)
+	r.submit(oneTask("a000000000000001", "quotes", "weddings", 1))
+	r.store()
+	orders := r.report("agent-1", "r1", func(report *cellpb.Report) {
+		report.Ended = []*cellpb.EndedTask{
+			{Number: 1, Task: "a000000000000001.0.0.0", Run: 1, Kind: cellpb.EndKind_END_KIND_DONE},
+			{Number: 2, Task: "b000000000000001.0.0.0", Run: 1, Kind: cellpb.EndKind_END_KIND_DONE},
+		}
+	})
+	require.Zero(t, orders.GetRecorded(), "the end of a known task isn't stored yet")
+	r.store()
+	require.EqualValues(t, 2, r.board.Orders("agent-1", r.now).GetRecorded())
+}
--- a/dispatch/executor.go
+++ b/dispatch/executor.go
@@ -104,15 +104,10 @@
 	return label == "" || slices.Contains(e.state.GetLabels(), label)
 }
 
-// settle moves the ends of stored batches to recorded.
+// settle moves the ends of stored batches to recorded, in order: the executor forgets all ends up to recorded.
 func (e *executor) settle(committed int64) {
-	kept := e.ends[:0]
-	for _, end := range e.ends {
-		if end.batch > committed {
-			kept = append(kept, end)
-			continue
-		}
-		e.recorded = max(e.recorded, end.number)
+	for len(e.ends) > 0 && e.ends[0].batch <= committed {
+		e.recorded = e.ends[0].number
+		e.ends = e.ends[1:]
 	}
-	e.ends = kept
 }
