--- a/cmd/cellentrycmd.go
+++ b/cmd/cellentrycmd.go
@@ -107,7 +107,9 @@
 		Address:  process.read.Listen,
 		Seeds:    process.read.Entries,
 		Logger:   process.logger,
+		Clock:    c.Clock,
 		Mirror:   e.mirror,
+		StateAge: e.cell.Age,
 		Report:   e.scheduler.Report,
 		Append:   e.topic.Append,
 		Exchange: process.pool.Exchange,
@@ -152,10 +154,11 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	process.watchReload(run)
-	followed := make(chan error, 3)
+	followed := make(chan error, 4)
 	go func() { followed <- e.operations.Run(run) }()
 	go func() { followed <- e.cell.Run(run) }()
 	go func() { followed <- e.scheduler.Run(run) }()
+	go func() { followed <- e.peers.Watch(run) }()
 	peersEnded, err := process.servePeers(run, e.peers.Answer)
 	if err != nil {
 		return err
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 
 	"radishpath.example/radishpath/cell"
@@ -14,8 +15,16 @@
 	"radishpath.example/radishpath/mirror"
 )
 
-// forwardLimit bounds a call that is passed on to the scheduler.
-const forwardLimit = 1500 * time.Millisecond
+const (
+	// forwardLimit bounds a call that is passed on to the scheduler.
+	forwardLimit = 1500 * time.Millisecond
+	// askAge is how old the knowledge of the cell's log is before other entries are asked for the scheduler; the
+	// scheduler's heartbeats keep it well below.
+	askAge = 700 * time.Millisecond
+	// askPause is between two rounds of asking, askLimit bounds one question.
+	askPause = 300 * time.Millisecond
+	askLimit = 500 * time.Millisecond
+)
 
 // PeersConfig configures Peers.
 type PeersConfig struct {
@@ -24,7 +33,10 @@
 	// Seeds are other entries that the settings name.
 	Seeds  []string
 	Logger hclog.Logger
+	Clock  clockwork.Clock
 	Mirror *mirror.Mirror
+	// StateAge returns how old the knowledge of the cell's log may be.
+	StateAge func() (time.Duration, bool)
 	// Report hands a report to the scheduler of this process; false if it isn't the cell's.
 	Report func(ctx context.Context, report *cellpb.Report) (*cellpb.Orders, bool)
 	// Append stores entries in the cell's log.
@@ -52,6 +64,13 @@
 		return p.report(ctx, request, body.Report)
 	case *cellpb.Request_Append:
 		return p.append(ctx, body.Append)
+	case *cellpb.Request_Ask:
+		claim, _ := p.config.Mirror.Claim()
+		return &cellpb.Reply{
+			Body: &cellpb.Reply_Claim{
+				Claim: claim,
+			},
+		}
 	}
 	return &cellpb.Reply{
 		Error: "unknown request",
@@ -85,6 +104,36 @@
 	return failure
 }
 
+// Watch asks the other entries for the scheduler while this one can't read the cell's log, until ctx ends. A scheduler
+// that the store turns away learns so that it was replaced, and sends its agents on.
+func (p *Peers) Watch(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.config.Clock.After(askPause):
+		}
+		if age, ok := p.config.StateAge(); ok && age < askAge {
+			continue
+		}
+		for _, address := range p.others() {
+			p.ask(ctx, address)
+		}
+	}
+}
+
+func (p *Peers) ask(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	reply := &cellpb.Reply{}
+	err := p.config.Exchange(ctx, address, &cellpb.Request{Body: &cellpb.Request_Ask{Ask: &cellpb.Ask{}}}, reply)
+	if err != nil {
+		p.config.Logger.Debug("ask for the scheduler", "address", address, "error", err)
+		return
+	}
+	p.config.Mirror.Tell(reply.GetClaim())
+}
+
 func (p *Peers) append(ctx context.Context, request *cellpb.Append) *cellpb.Reply {
 	_, err := p.config.Append(ctx, []cell.Entry{{Key: request.GetKey(), Value: request.GetValue()}}, nil, -1)
 	reply := &cellpb.Reply{
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -34,6 +34,8 @@
 	mu         sync.Mutex
 	operations cell.Operations
 	state      *cell.State
+	// told is a claim that another entry has read.
+	told *cellpb.Claim
 	// heard is when the last record of the scheduler was read.
 	heard   time.Duration
 	changed map[string]bool
@@ -112,9 +114,24 @@
 func (m *Mirror) Claim() (*cellpb.Claim, time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.told.GetEpoch() > m.state.Claim().GetEpoch() {
+		return m.told, m.heard
+	}
 	return m.state.Claim(), m.heard
 }
 
+// Tell takes over a claim that another entry has read, for an entry that can't read the log itself.
+func (m *Mirror) Tell(claim *cellpb.Claim) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if claim.GetEpoch() <= max(m.told.GetEpoch(), m.state.Claim().GetEpoch()) {
+		return
+	}
+	m.told = claim
+	m.config.Logger.Info("scheduler told", "epoch", claim.GetEpoch(), "holder", claim.GetHolder())
+	m.notify()
+}
+
 // Job returns what is known of a job.
 func (m *Mirror) Job(id string) (cell.Tracked, bool) {
 	m.mu.Lock()
