--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -322,6 +322,7 @@
 }
 
 func (p *placement) observe(running *cellpb.RunningTask, now Instant) {
+	p.sent = true
 	if !p.running {
 		p.running = true
 		p.started = now.Boot
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -53,7 +53,7 @@
 			return
 		}
 	}
-	if u.guaranteed {
+	if u.guaranteed || (u.priority == 0 && !u.hopeless) {
 		b.reclaim(v, u, racks, now)
 	}
 }
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -13,9 +13,15 @@
 	waste  float64
 }
 
-// reclaim stops borrowed work so that guaranteed work can begin within its time limit. It answers the load in which
-// other workspaces fill the cell before a burst of guaranteed work comes. The room that is being freed is kept for the
-// unit, also in the passes until it is free.
+// preemptShare is how much work may be thrown away for urgent work that isn't guaranteed, as a share of that work.
+const preemptShare = 1.0
+
+// priorityWaste weighs stopped work of priority 0: it is as urgent as what it would make room for.
+const priorityWaste = 10
+
+// reclaim stops other work so that urgent work can begin. It answers the load in which long work fills the cell before a
+// burst of urgent work comes: guaranteed work begins within its time limit whatever is stopped, other urgent work only
+// where it throws away little. The room that is being freed is kept for the unit, also in the passes until it is free.
 func (b *Board) reclaim(v *view, u *unit, racks [][]*site, now Instant) {
 	var best *reclamation
 	for _, sites := range b.choices(racks, u) {
@@ -28,7 +34,7 @@
 			best = found
 		}
 	}
-	if best == nil {
+	if best == nil || (!u.guaranteed && best.waste > preemptShare*b.work(u)) {
 		return
 	}
 	need := roomOf(u.group.step)
@@ -64,7 +70,7 @@
 			}
 		}
 		found.stops = append(found.stops, stops...)
-		found.waste += wasteOf(stops, now)
+		found.waste += b.cost(stops, now)
 		left[s] = left[s].minus(need)
 		taken[s.agent]++
 		found.chosen = append(found.chosen, s)
@@ -86,7 +92,7 @@
 			continue
 		}
 		better := best == nil || cmp.Or(
-			cmp.Compare(wasteOf(stops, now), wasteOf(bestStops, now)),
+			cmp.Compare(b.cost(stops, now), b.cost(bestStops, now)),
 			cmp.Compare(len(stops), len(bestStops)),
 			cmp.Compare(left[s].accelerators, left[best].accelerators),
 		) < 0
@@ -106,13 +112,13 @@
 	needs := b.guaranteedNeeds()
 	var borrowed []*placement
 	b.eachPlacement(func(place *placement) {
-		if place.life == s.life && !place.stopping && !stopped[place] && b.borrows(place, needs) {
+		if place.life == s.life && !place.stopping && !stopped[place] && b.borrows(place, u, needs) {
 			borrowed = append(borrowed, place)
 		}
 	})
 	slices.SortFunc(borrowed, func(x, y *placement) int {
 		return cmp.Or(
-			cmp.Compare(wasteOf(victims(x), now), wasteOf(victims(y), now)),
+			cmp.Compare(b.cost(victims(x), now), b.cost(victims(y), now)),
 			cmp.Compare(x.task.id.String(), y.task.id.String()),
 		)
 	})
@@ -138,12 +144,33 @@
 	}), left.fits(need)
 }
 
-// borrows reports whether a run may be stopped for guaranteed work.
-func (b *Board) borrows(place *placement, needs map[string]int64) bool {
+// borrows reports whether a run may be stopped for a unit.
+func (b *Board) borrows(place *placement, u *unit, needs map[string]int64) bool {
 	g := place.task.group
 	if g.step.GetPersistent() || g.done() {
 		return false
 	}
 	spec := g.job.spec
-	return b.priority(spec) > 0 || needs[spec.GetWorkspace()] > b.operations.Config.Guaranteed(spec.GetWorkspace())
+	if b.priority(spec) > 0 {
+		return true
+	}
+	return u.guaranteed && needs[spec.GetWorkspace()] > b.operations.Config.Guaranteed(spec.GetWorkspace())
+}
+
+// cost is the work that is thrown away with some runs, weighed by how urgent it was.
+func (b *Board) cost(places []*placement, now Instant) float64 {
+	total := 0.0
+	for _, place := range places {
+		thrown := waste(place, now)
+		if b.priority(place.task.group.job.spec) == 0 {
+			thrown = priorityWaste * (thrown + 1)
+		}
+		total += thrown
+	}
+	return total
+}
+
+// work is the expected work of a unit in core-seconds.
+func (b *Board) work(u *unit) float64 {
+	return float64(len(u.tasks)) * cores(u.group.step) * b.estimates.of(u.group).Seconds()
 }
--- /dev/null
+++ b/dispatch/reclaim_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+// running reports tasks as running.
+func running(tasks ...string) func(report *cellpb.Report) {
+	return func(report *cellpb.Report) {
+		for _, task := range tasks {
+			report.Running = append(report.Running, &cellpb.RunningTask{
+				Task:    task,
+				Run:     1,
+				Percent: 10,
+			})
+		}
+	}
+}
+
+// Load: renders of a lower priority fill the cell, then quotes come. A quote must not wait until a render ends, unless
+// stopping one throws away more work than the quote is.
+func TestUrgentWorkStopsLessUrgentWork(t *testing.T) {
+	tests := []struct {
+		name string
+		// ran is for how long the renders ran.
+		ran       time.Duration
+		workspace string
+		stops     int
+	}{
+		{name: "little is thrown away", ran: time.Second, workspace: "none", stops: 1},
+		{name: "too much is thrown away", ran: time.Minute, workspace: "none", stops: 0},
+		{name: "guaranteed work has to begin", ran: time.Minute, workspace: "weddings", stops: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t)
+			r.report("agent-1", "r1", nil)
+			var names []string
+			for i := range 2 {
+				id := fmt.Sprintf("a00000000000000%d", i)
+				r.submit(oneTask(id, "renders", "schools", 4))
+				names = append(names, id+".0.0.0")
+			}
+			r.store()
+			r.report("agent-1", "r1", running(names...))
+			r.pass(test.ran)
+			r.report("agent-1", "r1", running(names...))
+
+			r.submit(oneTask("b000000000000001", "quotes", test.workspace, 4))
+			r.store()
+			require.Len(t, r.board.Orders("agent-1", r.now).GetStops(), test.stops)
+			r.store()
+			require.Len(t, r.board.Orders("agent-1", r.now).GetStops(), test.stops, "one stop makes room enough")
+		})
+	}
+}
+
+// A run that was ordered and started must count its work from its start, or it looks free to stop.
+func TestWasteCountsFromTheFirstReport(t *testing.T) {
+	r := newRig(t)
+	r.report("agent-1", "r1", nil)
+	r.submit(oneTask("a000000000000001", "renders", "schools", 1))
+	r.store()
+	r.report("agent-1", "r1", running("a000000000000001.0.0.0"))
+	r.pass(2 * time.Second)
+	place := r.board.findTask("a000000000000001.0.0.0").place
+	require.InDelta(t, 2*(1+acceleratorCores), waste(place, r.now), 0.01)
+}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -119,21 +119,17 @@
 	if !place.running {
 		since = now.Boot
 	}
-	cores := float64(step.GetCpu())/1000 + acceleratorCores*float64(step.GetAccelerators())
-	return cores * max(now.Boot-since, 0).Seconds()
+	return cores(step) * max(now.Boot-since, 0).Seconds()
+}
+
+// cores are what a task occupies, accelerators counted in cores.
+func cores(step *cellpb.Step) float64 {
+	return float64(step.GetCpu())/1000 + acceleratorCores*float64(step.GetAccelerators())
 }
 
 // acceleratorCores is what one accelerator counts in cores.
 const acceleratorCores = 8
 
-func wasteOf(places []*placement, now Instant) float64 {
-	total := 0.0
-	for _, place := range places {
-		total += waste(place, now)
-	}
-	return total
-}
-
 // victims returns what has to be stopped to stop one run: the run, or its gang.
 func victims(place *placement) []*placement {
 	g := place.task.group
--- a/node/life.go
+++ b/node/life.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -120,7 +121,7 @@
 	report.Epoch = l.epoch
 	report.Executor = proto.CloneOf(l.executor)
 	report.Executor.ClockMs = l.inventory.Clock.Milliseconds()
-	report.Running = l.inventory.Running
+	report.Running = l.running()
 	report.Rejected = append(report.Rejected, l.rejected...)
 	for _, ended := range l.inventory.Ended {
 		if ended.GetNumber() > l.recorded {
@@ -144,6 +145,20 @@
 	l.rejected = kept
 }
 
+// running lists what the inventory shows and what started since it was read.
+func (l *life) running() []*cellpb.RunningTask {
+	listed := slices.Clone(l.inventory.Running)
+	for key := range l.started {
+		if !l.runs(key) {
+			listed = append(listed, &cellpb.RunningTask{
+				Task: key.task,
+				Run:  key.run,
+			})
+		}
+	}
+	return listed
+}
+
 func (l *life) runs(key run) bool {
 	for _, running := range l.inventory.Running {
 		if running.GetTask() == key.task && running.GetRun() == key.run {
