--- a/boottime/clock.go
+++ b/boottime/clock.go
@@ -1,5 +1,5 @@
-// Package boottime measures elapsed time that includes the time for which the machine was suspended. The steady clock of
-// the Go runtime leaves that time out, so a process that was suspended would take old confirmations for fresh ones.
+// Package boottime measures elapsed time that includes the time for which the machine was suspended. The steady clock
+// of the Go runtime leaves that time out, so a process that was suspended would take old confirmations for fresh ones.
 //
 // # Usage
 //
--- a/capacity/deployment.go
+++ b/capacity/deployment.go
@@ -7,8 +7,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"radishpath.example/radishpath/ledger"
-	"radishpath.example/radishpath/peer/peerpb"
 	"radishpath.example/radishpath/logservice"
+	"radishpath.example/radishpath/peer/peerpb"
 	"radishpath.example/radishpath/proof/harness"
 )
 
--- a/capacity/study.go
+++ b/capacity/study.go
@@ -7,8 +7,8 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/logservice"
+	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/proof/harness"
 )
 
--- a/cmd/agentcmd.go
+++ b/cmd/agentcmd.go
@@ -12,9 +12,9 @@
 
 	"radishpath.example/radishpath/agent"
 	"radishpath.example/radishpath/backend"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer"
-	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/settings"
 )
 
--- a/cmd/agentports.go
+++ b/cmd/agentports.go
@@ -7,8 +7,8 @@
 	"radishpath.example/radishpath/agent"
 	"radishpath.example/radishpath/backend"
 	"radishpath.example/radishpath/document"
-	"radishpath.example/radishpath/peer/peerpb"
 	"radishpath.example/radishpath/logservice"
+	"radishpath.example/radishpath/peer/peerpb"
 )
 
 // workerPort adapts the worker's client to the agent.
--- a/cmd/cellagentcmd.go
+++ b/cmd/cellagentcmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/spf13/cobra"
@@ -82,6 +83,5 @@
 	case err = <-adminEnded:
 	}
 	stop()
-	<-ended
-	return err
+	return errors.Join(err, <-ended)
 }
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -12,10 +12,10 @@
 
 	"radishpath.example/radishpath/caller"
 	"radishpath.example/radishpath/entry"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/settings"
 )
 
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -167,14 +167,14 @@
 	e.heard = now.Boot
 	e.confirmed = true
 	e.lapsed = false
-	b.meet(e, report, now)
+	b.meet(e, report)
 	b.takeEnds(e, report, now)
 	b.takeRejections(e, report, now)
 	b.takeRunning(e, report, now)
 	if e.state.GetGone() {
 		b.eachPlacement(func(place *placement) {
 			if place.life == e.life {
-				b.lose(place, "executor ended", now)
+				b.lose(place, "executor ended")
 			}
 		})
 	}
@@ -194,7 +194,7 @@
 }
 
 // meet takes over the executor's own state. What ran in an earlier life is gone, unless this life runs it.
-func (b *Board) meet(e *executor, report *cellpb.Report, now Instant) {
+func (b *Board) meet(e *executor, report *cellpb.Report) {
 	life := lifeOf(report.GetExecutor())
 	fresh := life != e.life
 	e.state = report.GetExecutor()
@@ -222,7 +222,7 @@
 			place.task.group.job.dirty = true
 			return
 		}
-		b.lose(place, "executor started anew", now)
+		b.lose(place, "executor started anew")
 	})
 }
 
@@ -463,7 +463,7 @@
 }
 
 // lose gives up a run that surely doesn't exist any more.
-func (b *Board) lose(place *placement, reason string, now Instant) {
+func (b *Board) lose(place *placement, reason string) {
 	b.config.Log("run lost", "task", place.task.id.String(), "run", place.run, "agent", place.agent, "reason", reason)
 	place.task.place = nil
 	place.task.group.job.dirty = true
@@ -477,13 +477,13 @@
 		silent := e == nil || !e.confirmed
 		switch {
 		case !place.sent && (silent || now.Boot-e.heard > b.config.Silence):
-			b.lose(place, "order never left", now)
+			b.lose(place, "order never left")
 		case silent && now.Boot-b.began > b.config.Predecessor+b.config.lapse():
-			b.lose(place, "executor never heard", now)
+			b.lose(place, "executor never heard")
 		case !silent && now.Boot-e.heard > b.config.lapse():
-			b.lose(place, "lease lapsed", now)
+			b.lose(place, "lease lapsed")
 		case !silent && place.life != e.life:
-			b.lose(place, "executor started anew", now)
+			b.lose(place, "executor started anew")
 		}
 	})
 	for id, j := range b.jobs {
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -105,12 +105,11 @@
 }
 
 // store plans, stores and commits.
-func (r *rig) store() Batch {
+func (r *rig) store() {
 	r.board.Expire(r.now)
 	r.board.Plan(r.now)
 	batch := r.board.TakeBatch()
 	r.board.Commit(batch.Number)
-	return batch
 }
 
 func oneTask(id, queue, workspace string, accelerators int64) *cellpb.Job {
@@ -131,37 +130,23 @@
 	}
 }
 
-// ended reports the end of a task as the only one.
-func ended(number int64, task string, run int32, kind cellpb.EndKind) func(report *cellpb.Report) {
-	return func(report *cellpb.Report) {
-		report.Ended = []*cellpb.EndedTask{
-			{
-				Number: number,
-				Task:   task,
-				Run:    run,
-				Kind:   kind,
-			},
-		}
-	}
-}
-
 // A heartbeat that is stored while a decision waits for its batch must not count as that batch: its orders would leave,
 // and its ends be forgotten by the executor, before the log holds them.
 func TestEmptyBatchCommitsNothing(t *testing.T) {
 	r := newRig(t)
-	r.report("agent-1", "r1", nil)
+	r.report("agent-2", "r1", nil)
 	heartbeat := r.board.TakeBatch()
 	require.True(t, heartbeat.Empty())
 
 	r.submit(oneTask("a000000000000001", "quotes", "weddings", 1))
 	r.board.Plan(r.now)
 	r.board.Commit(heartbeat.Number)
-	require.Empty(t, r.board.Orders("agent-1", r.now).GetStarts(), "the order isn't stored yet")
+	require.Empty(t, r.board.Orders("agent-2", r.now).GetStarts(), "the order isn't stored yet")
 
 	batch := r.board.TakeBatch()
 	require.Len(t, batch.Progress, 1)
 	r.board.Commit(batch.Number)
-	require.Len(t, r.board.Orders("agent-1", r.now).GetStarts(), 1)
+	require.Len(t, r.board.Orders("agent-2", r.now).GetStarts(), 1)
 }
 
 // An executor forgets all ends up to the acknowledged one, so a stored end must not acknowledge an earlier one that
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -49,11 +49,12 @@
 	racks := b.racks(v, u.group)
 	for _, sites := range b.choices(racks, u) {
 		if chosen := pack(u, sites, freeRoom); chosen != nil {
-			b.assign(v, u, chosen, now)
+			b.assign(u, chosen, now)
 			return
 		}
 	}
-	if u.guaranteed || (u.priority == 0 && !u.hopeless) {
+	urgent := u.guaranteed || (u.priority == 0 && !u.hopeless)
+	if urgent && !b.canWait(v, u, slices.Concat(racks...), now) {
 		b.reclaim(v, u, racks, now)
 	}
 }
@@ -151,7 +152,7 @@
 	return taken
 }
 
-func (b *Board) assign(v *view, u *unit, chosen assignment, now Instant) {
+func (b *Board) assign(u *unit, chosen assignment, now Instant) {
 	run := int32(0)
 	for _, t := range u.tasks {
 		run = max(run, t.run)
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -59,7 +59,7 @@
 	stopped := map[*placement]bool{}
 	taken := spreadOf(u.group)
 	for range u.tasks {
-		s, stops := b.cheapest(v, u, sites, left, stopped, taken, now)
+		s, stops := b.cheapest(u, sites, left, stopped, taken, now)
 		if s == nil {
 			return nil
 		}
@@ -79,7 +79,7 @@
 }
 
 func (b *Board) cheapest(
-	v *view, u *unit, sites []*site, left map[*site]room, stopped map[*placement]bool, taken map[string]int, now Instant,
+	u *unit, sites []*site, left map[*site]room, stopped map[*placement]bool, taken map[string]int, now Instant,
 ) (*site, []*placement) {
 	var best *site
 	var bestStops []*placement
--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -72,3 +72,22 @@
 	place := r.board.findTask("a000000000000001.0.0.0").place
 	require.InDelta(t, 2*(1+acceleratorCores), waste(place, r.now), 0.01)
 }
+
+// Load: the cell is full with work that ends soon when a quote with time to spare comes. Stopping something would throw
+// work away for nothing.
+func TestUrgentWorkWaitsForRoomThatFreesInTime(t *testing.T) {
+	r := newRig(t)
+	r.report("agent-1", "r1", nil)
+	r.submit(oneTask("a000000000000001", "renders", "schools", 8))
+	r.store()
+	r.report("agent-1", "r1", running("a000000000000001.0.0.0"))
+	r.pass(time.Second)
+	r.report("agent-1", "r1", func(report *cellpb.Report) {
+		running("a000000000000001.0.0.0")(report)
+		report.Running[0].Percent = 80
+	})
+	// The quote takes 2 s and has 3 s, so it can wait for a second; the render is done in 0.3 s.
+	r.submit(oneTask("b000000000000001", "quotes", "none", 8))
+	r.store()
+	require.Empty(t, r.board.Orders("agent-1", r.now).GetStops())
+}
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -84,10 +84,10 @@
 // objective is the time in which a job should be done.
 func (b *Board) objective(j *job) time.Duration {
 	stretch, slack := j.spec.GetStretch(), time.Duration(j.spec.GetSlackMs())*time.Millisecond
-	if stretch == 0 {
-		stretch = 1
+	if queue, ok := b.operations.Config.Queue(j.spec.GetQueue()); ok {
+		stretch, slack = queue.Stretch, queue.Slack
 	}
-	return time.Duration(stretch*float64(b.chain(j))) + slack
+	return time.Duration(max(stretch, 1)*float64(b.chain(j))) + slack
 }
 
 // chain is the longest chain of expected run times through a job's steps.
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -144,4 +144,3 @@
 	}
 	return places
 }
-
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -13,8 +13,8 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"radishpath.example/radishpath/document"
-	"radishpath.example/radishpath/peer/peerpb"
 	"radishpath.example/radishpath/logservice"
+	"radishpath.example/radishpath/peer/peerpb"
 )
 
 const (
--- a/entry/documents_test.go
+++ b/entry/documents_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"radishpath.example/radishpath/peer/peerpb"
 	"radishpath.example/radishpath/logservice"
+	"radishpath.example/radishpath/peer/peerpb"
 )
 
 func textOf(share string) string {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -12,8 +12,8 @@
 
 	"radishpath.example/radishpath/jobstream"
 	"radishpath.example/radishpath/ledger"
-	"radishpath.example/radishpath/peer/peerpb"
 	"radishpath.example/radishpath/logservice"
+	"radishpath.example/radishpath/peer/peerpb"
 )
 
 const (
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -10,9 +10,9 @@
 
 	"radishpath.example/radishpath/document"
 	"radishpath.example/radishpath/ledger"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/settings"
 )
 
--- a/entry/rig_test.go
+++ b/entry/rig_test.go
@@ -16,9 +16,9 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"radishpath.example/radishpath/ledger"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/peer"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/logservice"
 )
 
 const testText = `[service]
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -120,7 +121,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return context.Cause(ctx)
+			return fmt.Errorf("await offset %d: %w", offset, context.Cause(ctx))
 		case <-changed:
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,7 +46,7 @@
 		g.config.Logger.Error("cancel", "job", id, "error", err)
 		return cell.Answer{Outcome: cell.OutcomeInvalid}
 	}
-	answer := g.store(ctx, call, id, entry, func() bool {
+	answer := g.store(ctx, call, entry, func() bool {
 		known, _ := g.config.Mirror.Job(id)
 		return known.Cancelled
 	})
@@ -113,7 +113,7 @@
 		g.config.Logger.Error("submit", "job", id, "error", err)
 		return cell.Answer{Outcome: cell.OutcomeInvalid}
 	}
-	answer := g.store(ctx, call, id, entry, func() bool {
+	answer := g.store(ctx, call, entry, func() bool {
 		_, ok := g.config.Mirror.Job(id)
 		return ok
 	})
@@ -186,7 +186,7 @@
 // store tries to store an entry, here and through other entries, until it is stored, refused for good or the caller's
 // time is over. Repeating it does no harm: the entry's key holds one value.
 func (g *Gateway) store(
-	ctx context.Context, call cell.Call, id string, entry cell.Entry, stored func() bool,
+	ctx context.Context, call cell.Call, entry cell.Entry, stored func() bool,
 ) cell.Answer {
 	began := g.config.Boot.Now()
 	deadline := began + call.Timeout - answerMargin
--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -1,5 +1,5 @@
-// Package logsink writes log lines without ever blocking the writer. Lines beyond the buffer or the rate are dropped and
-// counted, and the count is written as a line of its own.
+// Package logsink writes log lines without ever blocking the writer. Lines beyond the buffer or the rate are dropped
+// and counted, and the count is written as a line of its own.
 //
 // # Usage
 //
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,4 +1,4 @@
-// Package mirror holds what an entry has read of the operators' log and of the cell's log, for everybody in the process.
+// Package mirror holds what an entry has read of the operators' log and of the cell's log, for all of the process.
 //
 // # Usage
 //
@@ -69,7 +69,8 @@
 			continue
 		}
 		if claim := m.state.Claim(); claim.GetEpoch() != before {
-			m.config.Logger.Info("scheduler", "epoch", claim.GetEpoch(), "holder", claim.GetHolder(), "offset", entry.Offset)
+			m.config.Logger.Info("scheduler", "epoch", claim.GetEpoch(), "holder", claim.GetHolder(),
+				"offset", entry.Offset)
 		}
 		if id != "" {
 			m.changed[id] = true
--- a/node/life.go
+++ b/node/life.go
@@ -168,7 +168,7 @@
 	return false
 }
 
-// take takes over an inventory that was asked for at a time, and reports whether the scheduler should hear of it at once.
+// take takes over an inventory that was asked for at a time, and reports whether the scheduler should hear of it soon.
 func (l *life) take(hold cell.Hold, inventory cell.Inventory, asked, now time.Duration) bool {
 	changed := l.epoch != hold.Fence || differ(l.inventory, inventory)
 	l.inventory = inventory
--- a/node/node.go
+++ b/node/node.go
@@ -180,8 +180,8 @@
 	}
 }
 
-// adopt moves on to a new life of the executor. Starts for the old life whose outcome isn't known may reach the new one,
-// so they are stopped there before the scheduler hears of it.
+// adopt moves on to a new life of the executor. Starts for the old life whose outcome isn't known may reach the new
+// one, so they are stopped there before the scheduler hears of it.
 func (n *Node) adopt(ctx context.Context) {
 	n.mu.Lock()
 	beat, former := n.beat, n.life
@@ -312,8 +312,8 @@
 	}
 }
 
-// reject tells the scheduler that a run won't start. An earlier try without an answer could still be carried out, so the
-// run is stopped first.
+// reject tells the scheduler that a run won't start. An earlier try without an answer could still be carried out, so
+// the run is stopped first.
 func (n *Node) reject(ctx context.Context, current *life, key run, reason string) {
 	if n.tries(current, key) > 1 && !n.stopUntilAnswered(ctx, current, key) {
 		return
--- a/proof/harness/jobs.go
+++ b/proof/harness/jobs.go
@@ -6,8 +6,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"radishpath.example/radishpath/peer/peerpb"
 	"radishpath.example/radishpath/logservice"
+	"radishpath.example/radishpath/peer/peerpb"
 )
 
 const pageRecords = 1000
--- a/proof/operations_test.go
+++ b/proof/operations_test.go
@@ -14,9 +14,9 @@
 
 	"radishpath.example/radishpath/caller/callerclient"
 	"radishpath.example/radishpath/ledger"
+	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer/peerpb"
-	"radishpath.example/radishpath/logservice"
 	"radishpath.example/radishpath/proof/harness"
 	"radishpath.example/radishpath/standin/workerserver"
 )
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -107,7 +107,7 @@
 		t.step(ctx)
 		select {
 		case <-ctx.Done():
-			return context.Cause(ctx)
+			return fmt.Errorf("scheduling: %w", context.Cause(ctx))
 		case <-leaving:
 			leaving = nil
 			t.resigning = true
--- a/settings/cell.go
+++ b/settings/cell.go
@@ -123,4 +123,3 @@
 	}
 	return seeds
 }
-
