--- a/cell/config.go
+++ b/cell/config.go
@@ -13,6 +13,21 @@
 	Services   map[string]Service
 	Workspaces []Workspace
 	Limits     Limits
+	// byName and byHost are positions in Queues; nil until WithIndex.
+	byName map[string]int
+	byHost map[string][]int
+}
+
+// WithIndex returns the configuration with an index of its queues, which may be thousands.
+func (c Config) WithIndex() Config {
+	c.byName = make(map[string]int, len(c.Queues))
+	c.byHost = make(map[string][]int)
+	for i, queue := range c.Queues {
+		c.byName[queue.Name] = i
+		host := strings.ToLower(queue.Host)
+		c.byHost[host] = append(c.byHost[host], i)
+	}
+	return c
 }
 
 // Queue accepts jobs under a host and a path prefix.
@@ -66,8 +81,8 @@
 		host = name
 	}
 	found, ok := Queue{}, false
-	for _, queue := range c.Queues {
-		if !strings.EqualFold(queue.Host, host) || !strings.HasPrefix(path, queue.Prefix) {
+	for _, queue := range c.onHost(strings.ToLower(host)) {
+		if !strings.HasPrefix(path, queue.Prefix) {
 			continue
 		}
 		if !ok || len(queue.Prefix) > len(found.Prefix) {
@@ -79,6 +94,13 @@
 
 // Queue returns the queue of that name.
 func (c Config) Queue(name string) (Queue, bool) {
+	if c.byName != nil {
+		at, ok := c.byName[name]
+		if !ok {
+			return Queue{}, false
+		}
+		return c.Queues[at], true
+	}
 	for _, queue := range c.Queues {
 		if queue.Name == name {
 			return queue, true
@@ -108,3 +130,20 @@
 	}
 	return "", false
 }
+
+// onHost returns the queues of a host, which is in lower case.
+func (c Config) onHost(host string) []Queue {
+	var queues []Queue
+	if c.byHost == nil {
+		for _, queue := range c.Queues {
+			if strings.ToLower(queue.Host) == host {
+				queues = append(queues, queue)
+			}
+		}
+		return queues
+	}
+	for _, at := range c.byHost[host] {
+		queues = append(queues, c.Queues[at])
+	}
+	return queues
+}
--- a/cmd/cellentrycmd.go
+++ b/cmd/cellentrycmd.go
@@ -86,6 +86,7 @@
 	e.cell = c.newFollower(process.logger, boot, "cell", cellPoll, e.topic, e.mirror.ApplyCell)
 	e.scheduler = scheduler.New(scheduler.Config{
 		Holder:  process.read.ID + "." + strconv.FormatInt(c.Clock.Now().UnixNano(), 36),
+		Cores:   process.read.Cores,
 		Address: process.read.Listen,
 		Logger:  process.logger,
 		Clock:   c.Clock,
--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +20,12 @@
 	// batch is the number of the batch that takes the present decisions, committed the last one that is stored.
 	batch     int64
 	committed int64
+	// placed are the runs that may exist, by agent.
+	placed map[string]map[*placement]bool
+	// replan is set when something changed that may let work be placed.
+	replan bool
+	// planned is when the last pass began.
+	planned time.Duration
 	// began is when this scheduler took over.
 	began time.Duration
 	drops []string
@@ -38,6 +45,7 @@
 		config:    config.withDefaults(),
 		jobs:      map[string]*job{},
 		executors: map[string]*executor{},
+		placed:    map[string]map[*placement]bool{},
 		estimates: newEstimates(),
 		batch:     1,
 		began:     now.Boot,
@@ -48,12 +56,23 @@
 func (b *Board) Commit(number int64) {
 	b.committed = max(b.committed, number)
 	for _, e := range b.executors {
-		e.settle(b.committed)
+		if e.settle(b.committed) {
+			e.version++
+		}
+		for place := range b.placed[e.agent] {
+			if place.batch == number {
+				e.version++
+			}
+		}
 	}
 }
 
 // SetOperations takes over what the operators published.
 func (b *Board) SetOperations(operations cell.Operations) {
+	if operations.Config.Version != b.operations.Config.Version ||
+		!maps.Equal(operations.Evacuated, b.operations.Evacuated) {
+		b.replan = true
+	}
 	b.operations = operations
 }
 
@@ -64,6 +83,10 @@
 		j = newJob(tracked.Job, now)
 		j.restore(tracked.Progress, now)
 		b.jobs[tracked.Job.GetId()] = j
+		b.replan = true
+		for _, place := range j.placements() {
+			b.put(place)
+		}
 		if !j.active() {
 			b.stopRest(j)
 		}
@@ -115,9 +138,9 @@
 	for _, stop := range e.strays {
 		orders.Stops = append(orders.Stops, stop)
 	}
-	b.eachPlacement(func(place *placement) {
-		if place.agent != agent || place.life != e.life {
-			return
+	for place := range b.placed[agent] {
+		if place.life != e.life {
+			continue
 		}
 		switch {
 		case place.stopping:
@@ -134,10 +157,18 @@
 				Checkpoint: place.task.checkpoint,
 			})
 		}
-	})
+	}
 	return orders
 }
 
+// Version changes whenever there is something new to tell an agent.
+func (b *Board) Version(agent string) int64 {
+	if e, ok := b.executors[agent]; ok {
+		return e.version
+	}
+	return 0
+}
+
 // Agents returns the addresses of the agents that were heard lately.
 func (b *Board) Agents(now Instant) []string {
 	var addresses []string
@@ -164,19 +195,19 @@
 		// Before the executor was touched with this epoch, an order of the predecessor may still take effect there.
 		return true
 	}
+	if !e.confirmed || now.Boot-e.heard > b.config.Silence {
+		b.replan = true
+	}
 	e.heard = now.Boot
 	e.confirmed = true
-	e.lapsed = false
 	b.meet(e, report)
 	b.takeEnds(e, report, now)
 	b.takeRejections(e, report, now)
 	b.takeRunning(e, report, now)
 	if e.state.GetGone() {
-		b.eachPlacement(func(place *placement) {
-			if place.life == e.life {
-				b.lose(place, "executor ended")
-			}
-		})
+		for _, place := range b.at(e.agent) {
+			b.lose(place, "executor ended")
+		}
 	}
 	return true
 }
@@ -197,6 +228,10 @@
 func (b *Board) meet(e *executor, report *cellpb.Report) {
 	life := lifeOf(report.GetExecutor())
 	fresh := life != e.life
+	if fresh || e.state.GetDraining() != report.GetExecutor().GetDraining() {
+		b.replan = true
+		e.version++
+	}
 	e.state = report.GetExecutor()
 	if !fresh {
 		return
@@ -213,17 +248,16 @@
 	for _, r := range report.GetRunning() {
 		running[r.GetTask()] = r.GetRun()
 	}
-	b.eachPlacement(func(place *placement) {
-		if place.agent != e.agent || place.life == life {
-			return
-		}
-		if running[place.task.id.String()] == place.run {
+	for _, place := range b.at(e.agent) {
+		switch {
+		case place.life == life:
+		case running[place.task.id.String()] == place.run:
 			place.life = life
 			place.task.group.job.dirty = true
-			return
+		default:
+			b.lose(place, "executor started anew")
 		}
-		b.lose(place, "executor started anew")
-	})
+	}
 }
 
 func (b *Board) takeEnds(e *executor, report *cellpb.Report, now Instant) {
@@ -239,7 +273,9 @@
 			batch:  b.pendingBatch(end.GetTask()),
 		})
 	}
-	e.settle(b.committed)
+	if e.settle(b.committed) {
+		e.version++
+	}
 }
 
 // pendingBatch returns the batch that an end of the task waits for: none if the end changed nothing.
@@ -264,7 +300,7 @@
 		case "room", "unhealthy":
 			e.holdOff = now.Boot + rejectionPause
 		}
-		t.place = nil
+		b.drop(t.place)
 		t.group.job.dirty = true
 		t.group.retryAt = now.Boot + retryPause
 		b.breakGang(t.group)
@@ -302,18 +338,20 @@
 			delete(e.strays, name)
 		}
 	}
-	b.eachPlacement(func(place *placement) {
+	for place := range b.placed[e.agent] {
 		if place.life == e.life && place.running && !present[place.task.id.String()] {
 			// Neither running nor ended: the order is given again and the executor answers what became of it.
 			place.running = false
+			e.version++
 		}
-	})
+	}
 }
 
 // stray remembers a run that must not exist, to have it stopped.
 func (b *Board) stray(e *executor, running *cellpb.RunningTask) {
 	if _, ok := e.strays[running.GetTask()]; !ok {
 		b.config.Log("stray run", "task", running.GetTask(), "run", running.GetRun(), "agent", e.agent)
+		e.version++
 	}
 	e.strays[running.GetTask()] = &cellpb.Stop{
 		Task: running.GetTask(),
@@ -347,7 +385,7 @@
 		return
 	}
 	place := t.place
-	t.place = nil
+	b.drop(place)
 	j := t.group.job
 	j.dirty = true
 	j.begun = true
@@ -424,11 +462,41 @@
 		return
 	}
 	if !place.sent {
-		place.task.place = nil
+		b.drop(place)
 		place.task.group.job.dirty = true
 		return
 	}
-	place.stopping = true
+	if !place.stopping {
+		place.stopping = true
+		b.touch(place.agent)
+	}
+}
+
+// put takes note of a run that may exist from now on, drop of one that surely doesn't.
+func (b *Board) put(place *placement) {
+	place.task.place = place
+	if b.placed[place.agent] == nil {
+		b.placed[place.agent] = map[*placement]bool{}
+	}
+	b.placed[place.agent][place] = true
+}
+
+func (b *Board) drop(place *placement) {
+	place.task.place = nil
+	delete(b.placed[place.agent], place)
+	b.replan = true
+}
+
+// at returns what may exist at an agent's executor.
+func (b *Board) at(agent string) []*placement {
+	return slices.Collect(maps.Keys(b.placed[agent]))
+}
+
+// touch has the agent told of its orders.
+func (b *Board) touch(agent string) {
+	if e, ok := b.executors[agent]; ok {
+		e.version++
+	}
 }
 
 func (b *Board) finish(j *job, now Instant) {
@@ -465,39 +533,46 @@
 // lose gives up a run that surely doesn't exist any more.
 func (b *Board) lose(place *placement, reason string) {
 	b.config.Log("run lost", "task", place.task.id.String(), "run", place.run, "agent", place.agent, "reason", reason)
-	place.task.place = nil
+	b.drop(place)
 	place.task.group.job.dirty = true
 	b.breakGang(place.task.group)
 }
 
 // Expire gives up what ran at executors that were silent for longer than their leases, and forgets old jobs.
 func (b *Board) Expire(now Instant) {
-	b.eachPlacement(func(place *placement) {
-		e := b.executors[place.agent]
-		silent := e == nil || !e.confirmed
+	for agent := range b.placed {
+		b.expireAt(agent, now)
+	}
+	for id, j := range b.jobs {
+		over := !j.active() && len(j.placements()) == 0 && !j.dirty
+		if over && now.Wall-j.endedMs > b.config.Retention.Milliseconds() {
+			delete(b.jobs, id)
+			b.drops = append(b.drops, id)
+		}
+	}
+}
+
+func (b *Board) expireAt(agent string, now Instant) {
+	e := b.executors[agent]
+	silent := e == nil || !e.confirmed
+	if !silent && now.Boot-e.heard <= b.config.Silence {
+		return
+	}
+	for _, place := range b.at(agent) {
 		switch {
-		case !place.sent && (silent || now.Boot-e.heard > b.config.Silence):
+		case !place.sent:
 			b.lose(place, "order never left")
 		case silent && now.Boot-b.began > b.config.Predecessor+b.config.lapse():
 			b.lose(place, "executor never heard")
 		case !silent && now.Boot-e.heard > b.config.lapse():
 			b.lose(place, "lease lapsed")
-		case !silent && place.life != e.life:
-			b.lose(place, "executor started anew")
-		}
-	})
-	for id, j := range b.jobs {
-		over := !j.active() && len(j.placements()) == 0 && !j.dirty
-		if over && now.Wall-j.endedMs > b.config.Retention.Milliseconds() {
-			delete(b.jobs, id)
-			b.drops = append(b.drops, id)
 		}
 	}
 }
 
 func (b *Board) eachPlacement(visit func(place *placement)) {
-	for _, j := range b.jobs {
-		for _, place := range j.placements() {
+	for _, places := range b.placed {
+		for place := range places {
 			visit(place)
 		}
 	}
--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -14,7 +14,7 @@
 
 // rig drives a board with executors that do what they are told.
 type rig struct {
-	t     *testing.T
+	t     testing.TB
 	board *Board
 	now   Instant
 	// sequence numbers the reports.
@@ -25,6 +25,11 @@
 }
 
 func newRig(t *testing.T) *rig {
+	t.Helper()
+	return newRigOf(t)
+}
+
+func newRigOf(t testing.TB) *rig {
 	t.Helper()
 	now := Instant{
 		Boot: time.Minute,
--- a/dispatch/executor.go
+++ b/dispatch/executor.go
@@ -61,8 +61,6 @@
 	// heard is when the agent last reported; confirmed is set once it reported under this scheduler's epoch.
 	heard     time.Duration
 	confirmed bool
-	// lapsed is set once everything at a silent executor was given up.
-	lapsed bool
 	// ends are the processed ends that the log doesn't hold yet.
 	ends []processedEnd
 	// seen is the highest processed end of this life, recorded the highest that is stored.
@@ -71,6 +69,8 @@
 	// strays are runs that must not exist.
 	strays map[string]*cellpb.Stop
 	health health
+	// version changes with what there is to tell the agent.
+	version int64
 	// holdOff keeps new work away after the executor refused a start.
 	holdOff time.Duration
 }
@@ -104,10 +104,13 @@
 	return label == "" || slices.Contains(e.state.GetLabels(), label)
 }
 
-// settle moves the ends of stored batches to recorded, in order: the executor forgets all ends up to recorded.
-func (e *executor) settle(committed int64) {
+// settle moves the ends of stored batches to recorded, in order: the executor forgets all ends up to recorded. It
+// reports whether there were any.
+func (e *executor) settle(committed int64) bool {
+	before := e.recorded
 	for len(e.ends) > 0 && e.ends[0].batch <= committed {
 		e.recorded = e.ends[0].number
 		e.ends = e.ends[1:]
 	}
+	return e.recorded != before
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -11,32 +11,32 @@
 // assignment is the choice of a site for each task of a unit, in order.
 type assignment []*site
 
-// Plan places what waits. It is called after every event.
+// maxPreemptions is how many urgent units that aren't guaranteed are considered for preemption in one pass.
+const maxPreemptions = 4
+
+// replanInterval is how often work that waits is tried again without any change.
+const replanInterval = 100 * time.Millisecond
+
+// Plan places what waits. It is called after every event, and does nothing while nothing changed that may let work be
+// placed. Under a long queue a pass costs no more than its distinct groups: once a task of a group doesn't fit, none of
+// the group does.
 func (b *Board) Plan(now Instant) {
+	if !b.replan && now.Boot-b.planned < replanInterval {
+		return
+	}
+	b.replan = false
+	b.planned = now.Boot
 	b.openOccurrences(now)
+	units := b.units(now)
+	if len(units) == 0 {
+		return
+	}
 	v := b.newView(now)
-	for _, u := range b.units(now) {
+	for _, u := range units {
 		b.placeUnit(v, u, now)
 	}
 }
 
-// Next returns when a job becomes due, for the caller's timer; false if none does.
-func (b *Board) Next(now Instant) (time.Duration, bool) {
-	next, found := time.Duration(0), false
-	for _, j := range b.jobs {
-		if !j.active() {
-			continue
-		}
-		for occurrence := max(j.opened-1, 0); occurrence <= j.opened && occurrence < j.spec.GetOccurrences(); occurrence++ {
-			wait := time.Duration(j.due(occurrence)-now.Wall) * time.Millisecond
-			if wait > 0 && (!found || wait < next) {
-				next, found = wait, true
-			}
-		}
-	}
-	return next, found
-}
-
 func (b *Board) openOccurrences(now Instant) {
 	for _, j := range b.jobs {
 		for j.active() && j.opened < j.spec.GetOccurrences() && (j.opened == 0 || j.due(j.opened) <= now.Wall) {
@@ -46,6 +46,9 @@
 }
 
 func (b *Board) placeUnit(v *view, u *unit, now Instant) {
+	if v.full[u.group] {
+		return
+	}
 	racks := b.racks(v, u.group)
 	for _, sites := range b.choices(racks, u) {
 		if chosen := pack(u, sites, freeRoom); chosen != nil {
@@ -53,8 +56,14 @@
 			return
 		}
 	}
-	urgent := u.guaranteed || (u.priority == 0 && !u.hopeless)
-	if urgent && !b.canWait(v, u, slices.Concat(racks...), now) {
+	if !u.guaranteed {
+		v.full[u.group] = true
+		if u.priority != 0 || u.hopeless || v.preemptions >= maxPreemptions {
+			return
+		}
+		v.preemptions++
+	}
+	if !b.canWait(v, u, slices.Concat(racks...), now) {
 		b.reclaim(v, u, racks, now)
 	}
 }
@@ -166,7 +175,7 @@
 		if u.group.step.GetGang() {
 			t.checkpoint = checkpoint
 		}
-		t.place = &placement{
+		b.put(&placement{
 			task:    t,
 			run:     t.run,
 			agent:   s.agent,
@@ -176,7 +185,7 @@
 			started: now.Boot,
 			moved:   now.Boot,
 			saved:   now.Boot,
-		}
+		})
 		b.config.Log("order", "task", t.id.String(), "run", t.run, "agent", s.agent, "executor", s.life,
 			"config", b.operations.Config.Version, "reported", (now.Boot - s.heard).Milliseconds(),
 			"guaranteed", u.guaranteed, "slack", u.slack.Milliseconds())
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -59,7 +59,7 @@
 	stopped := map[*placement]bool{}
 	taken := spreadOf(u.group)
 	for range u.tasks {
-		s, stops := b.cheapest(u, sites, left, stopped, taken, now)
+		s, stops := b.cheapest(v, u, sites, left, stopped, taken, now)
 		if s == nil {
 			return nil
 		}
@@ -79,7 +79,7 @@
 }
 
 func (b *Board) cheapest(
-	u *unit, sites []*site, left map[*site]room, stopped map[*placement]bool, taken map[string]int, now Instant,
+	v *view, u *unit, sites []*site, left map[*site]room, stopped map[*placement]bool, taken map[string]int, now Instant,
 ) (*site, []*placement) {
 	var best *site
 	var bestStops []*placement
@@ -87,7 +87,7 @@
 		if crowded(u.group.step, taken[s.agent]) {
 			continue
 		}
-		stops, ok := b.stopsAt(s, u, left[s], stopped, now)
+		stops, ok := b.stopsAt(v, s, u, left[s], stopped, now)
 		if !ok {
 			continue
 		}
@@ -104,18 +104,19 @@
 }
 
 // stopsAt returns what to stop at a site so that one task fits, the least waste first.
-func (b *Board) stopsAt(s *site, u *unit, left room, stopped map[*placement]bool, now Instant) ([]*placement, bool) {
+func (b *Board) stopsAt(
+	v *view, s *site, u *unit, left room, stopped map[*placement]bool, now Instant,
+) ([]*placement, bool) {
 	need := roomOf(u.group.step)
 	if left.fits(need) {
 		return nil, true
 	}
-	needs := b.guaranteedNeeds()
 	var borrowed []*placement
-	b.eachPlacement(func(place *placement) {
-		if place.life == s.life && !place.stopping && !stopped[place] && b.borrows(place, u, needs) {
+	for place := range b.placed[s.agent] {
+		if place.life == s.life && !place.stopping && !stopped[place] && b.borrows(place, u, v.needs) {
 			borrowed = append(borrowed, place)
 		}
-	})
+	}
 	slices.SortFunc(borrowed, func(x, y *placement) int {
 		return cmp.Or(
 			cmp.Compare(b.cost(victims(x), now), b.cost(victims(y), now)),
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -38,8 +38,15 @@
 			if now.Boot < g.retryAt || !g.ready(now) {
 				continue
 			}
-			for _, tasks := range waiting(g) {
-				units = append(units, b.newUnit(g, tasks, needs, now))
+			sets := waiting(g)
+			if len(sets) == 0 {
+				continue
+			}
+			shared := b.newUnit(g, needs, now)
+			for _, tasks := range sets {
+				u := *shared
+				u.tasks = tasks
+				units = append(units, &u)
 			}
 		}
 	}
@@ -64,7 +71,8 @@
 	return sets
 }
 
-func (b *Board) newUnit(g *group, tasks []*task, needs map[string]int64, now Instant) *unit {
+// newUnit returns what all units of a group share.
+func (b *Board) newUnit(g *group, needs map[string]int64, now Instant) *unit {
 	spec := g.job.spec
 	objective := b.objective(g.job)
 	accepted := max(spec.GetAcceptedMs(), g.job.due(g.occurrence))
@@ -72,7 +80,6 @@
 	workspace := spec.GetWorkspace()
 	return &unit{
 		group:      g,
-		tasks:      tasks,
 		priority:   b.priority(spec),
 		guaranteed: b.priority(spec) == 0 && needs[workspace] <= b.operations.Config.Guaranteed(workspace),
 		hopeless:   age > hopelessFactor*objective,
@@ -136,7 +143,10 @@
 		-compareBool(x.hopeless, y.hopeless),
 		cmp.Compare(x.priority, y.priority),
 		cmp.Compare(x.slack, y.slack),
-		cmp.Compare(x.tasks[0].id.String(), y.tasks[0].id.String()),
+		cmp.Compare(x.group.job.spec.GetId(), y.group.job.spec.GetId()),
+		cmp.Compare(x.group.occurrence, y.group.occurrence),
+		cmp.Compare(x.group.number, y.group.number),
+		cmp.Compare(x.tasks[0].id.Index, y.tasks[0].id.Index),
 	)
 }
 
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -22,11 +22,18 @@
 type view struct {
 	sites  []*site
 	byLife map[string]*site
+	// needs are the accelerators that each workspace's work of priority 0 needs.
+	needs map[string]int64
+	// full are the groups of which a task didn't fit in this pass.
+	full        map[*group]bool
+	preemptions int
 }
 
 func (b *Board) newView(now Instant) *view {
 	v := &view{
 		byLife: map[string]*site{},
+		needs:  b.guaranteedNeeds(),
+		full:   map[*group]bool{},
 	}
 	for _, e := range b.executors {
 		if e.state == nil || !e.confirmed {
@@ -41,17 +48,18 @@
 		v.byLife[e.life] = s
 	}
 	slices.SortFunc(v.sites, func(x, y *site) int { return strings.Compare(x.agent, y.agent) })
-	b.eachPlacement(func(place *placement) {
-		s, ok := v.byLife[place.life]
-		if !ok {
-			return
-		}
-		need := roomOf(place.task.group.step)
-		s.free = s.free.minus(need)
-		if place.stopping {
-			s.ending = s.ending.plus(need)
+	for _, s := range v.sites {
+		for place := range b.placed[s.agent] {
+			if place.life != s.life {
+				continue
+			}
+			need := roomOf(place.task.group.step)
+			s.free = s.free.minus(need)
+			if place.stopping {
+				s.ending = s.ending.plus(need)
+			}
 		}
-	})
+	}
 	return v
 }
 
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -21,12 +21,16 @@
 	heartbeat = 300 * time.Millisecond
 	// silence is how long the scheduler may be silent in the log before an entry claims its place.
 	silence = time.Second
+	// smallDelay is how much later an entry claims that has no processor at all.
+	smallDelay = 400 * time.Millisecond
 	// Validity is how long after its last confirmed append a scheduler extends leases.
 	Validity = 3 * time.Second
 	// tick is how often time limits are checked.
 	tick = 100 * time.Millisecond
 	// pollWait is how long an agent's call waits for orders.
 	pollWait = time.Second
+	// maxReports is how many reports are taken before the next pass.
+	maxReports = 64
 	// firstAppendLimit and maxAppendLimit bound one append; the limit doubles with each silence, since a slow log must
 	// get the time to answer.
 	firstAppendLimit = 500 * time.Millisecond
@@ -39,6 +43,8 @@
 type Config struct {
 	// Holder is unique to one run of the process.
 	Holder string
+	// Cores is this process's share of a core. Entries with less claim later, so that the largest becomes the scheduler.
+	Cores float64
 	// Address is where this entry answers calls of the peer protocol.
 	Address string
 	Logger  hclog.Logger
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,7 +55,7 @@
 // Run claims the cell whenever it has no scheduler, until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) error {
 	// Entries that start together don't all claim at once.
-	pause := time.Duration(rand.Int64N(int64(tick)))
+	pause := s.delay() + time.Duration(rand.Int64N(int64(tick)))
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,7 +82,7 @@
 		return claim.GetEpoch(), true
 	}
 	silent := s.config.Boot.Now() - heard
-	if claim.GetEpoch() != 0 && !claim.GetResigned() && silent < silence {
+	if claim.GetEpoch() != 0 && !claim.GetResigned() && silent < silence+s.delay() {
 		return 0, false
 	}
 	at := s.config.Next()
@@ -110,6 +110,11 @@
 	return next.GetEpoch(), s.readBack(ctx, next, offset)
 }
 
+// delay is how much later than the largest entries this one claims.
+func (s *Scheduler) delay() time.Duration {
+	return time.Duration(max(1-s.config.Cores, 0) * float64(smallDelay))
+}
+
 // readBack reads the log up to the claim: only the log tells whose claim it took.
 func (s *Scheduler) readBack(ctx context.Context, claim *cellpb.Claim, offset int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, maxAppendLimit)
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 	"radishpath.example/radishpath/dispatch"
@@ -30,8 +28,8 @@
 	ended   chan struct{}
 	// waiters are the calls of agents that wait for orders.
 	waiters map[string]*waiter
-	// answered are the last orders that each agent got.
-	answered map[string]*cellpb.Orders
+	// answered are the versions of the orders that each agent got last.
+	answered map[string]int64
 	sequence int64
 	storing  bool
 	// confirmed is when the last append that succeeded was sent.
@@ -69,7 +67,7 @@
 		stored:    make(chan storeResult, 1),
 		ended:     make(chan struct{}),
 		waiters:   map[string]*waiter{},
-		answered:  map[string]*cellpb.Orders{},
+		answered:  map[string]int64{},
 		confirmed: now.Boot,
 	}
 }
@@ -113,6 +111,7 @@
 			t.resigning = true
 		case w := <-t.reports:
 			t.take(w)
+			t.takeMore()
 		case result := <-t.stored:
 			t.storing = false
 			if result.err != nil {
@@ -172,6 +171,18 @@
 	t.waiters[agent] = w
 }
 
+// takeMore takes the reports that wait, so that one pass serves them all.
+func (t *term) takeMore() {
+	for range maxReports {
+		select {
+		case w := <-t.reports:
+			t.take(w)
+		default:
+			return
+		}
+	}
+}
+
 // step plans, stores what was decided and answers the agents.
 func (t *term) step(ctx context.Context) {
 	now := instant(t.config)
@@ -179,7 +190,7 @@
 	t.board.Plan(now)
 	t.store(ctx, now)
 	for _, w := range t.waiters {
-		if now.Boot >= w.until || t.differs(w, now) {
+		if now.Boot >= w.until || t.board.Version(w.report.GetAgent()) != t.answered[w.report.GetAgent()] {
 			t.answer(w, now)
 		}
 	}
@@ -199,51 +210,11 @@
 	return orders
 }
 
-// differs reports whether there is something new for an agent beside a longer lease.
-func (t *term) differs(w *waiter, now dispatch.Instant) bool {
-	last, ok := t.answered[w.report.GetAgent()]
-	if !ok {
-		return true
-	}
-	orders := t.orders(w.report.GetAgent(), now)
-	return !sameOrders(orders, last)
-}
-
-func sameOrders(x, y *cellpb.Orders) bool {
-	if x.GetRecorded() != y.GetRecorded() || x.GetBorn() != y.GetBorn() ||
-		len(x.GetStarts()) != len(y.GetStarts()) || len(x.GetStops()) != len(y.GetStops()) {
-		return false
-	}
-	known := map[string]bool{}
-	for _, start := range y.GetStarts() {
-		known[key(start.GetTask(), start.GetRun(), "start")] = true
-	}
-	for _, stop := range y.GetStops() {
-		known[key(stop.GetTask(), stop.GetRun(), "stop")] = true
-	}
-	for _, start := range x.GetStarts() {
-		if !known[key(start.GetTask(), start.GetRun(), "start")] {
-			return false
-		}
-	}
-	for _, stop := range x.GetStops() {
-		if !known[key(stop.GetTask(), stop.GetRun(), "stop")] {
-			return false
-		}
-	}
-	return true
-}
-
-func key(task string, run int32, kind string) string {
-	return fmt.Sprintf("%s %s %d", kind, task, run)
-}
-
 func (t *term) answer(w *waiter, now dispatch.Instant) {
 	agent := w.report.GetAgent()
 	delete(t.waiters, agent)
-	orders := t.orders(agent, now)
-	t.answered[agent] = proto.CloneOf(orders)
-	w.orders <- orders
+	t.answered[agent] = t.board.Version(agent)
+	w.orders <- t.orders(agent, now)
 }
 
 // store starts an append if there is something to store and none is under way.
--- a/settings/cell.go
+++ b/settings/cell.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"time"
 
 	"radishpath.example/radishpath/inifile"
@@ -27,6 +28,8 @@
 	Store string
 	// Entries are the addresses of the peer protocol of the entries known at the start.
 	Entries []string
+	// Cores is the process's share of a core.
+	Cores float64
 	// Memory is what the process may use, in MB.
 	Memory int
 	Log    LogSettings
@@ -98,6 +101,7 @@
 		Listen: readDialed(reader, "listen", "127.0.0.1:7000"),
 		Admin:  readAddress(reader, "admin", "127.0.0.1:7001"),
 		Store:  readAddress(reader, "store", "127.0.0.1:7070"),
+		Cores:  readCores(reader),
 		Memory: reader.Int("memory", 0, 0, maxMemoryMB),
 		Log:    readLog(file),
 	}
@@ -123,3 +127,14 @@
 	}
 	return seeds
 }
+
+// readCores reads a share of a core, which may be a fraction.
+func readCores(reader *inifile.Reader) float64 {
+	text := reader.String("cores", "1")
+	cores, err := strconv.ParseFloat(text, 64)
+	if err != nil || cores <= 0 {
+		reader.Bad("cores", "%q is no number above 0", text)
+		return 1
+	}
+	return cores
+}
