--- a/dispatch/board.go
+++ b/dispatch/board.go
@@ -424,9 +424,7 @@
 func (b *Board) fail(e *executor, place *placement, now Instant) {
 	t := place.task
 	t.failedOn = e.agent
-	if e.health.failed(t.group.job.spec.GetId(), now.Boot) {
-		b.config.Log("executor set aside", "agent", e.agent, "executor", e.life, "until", e.health.until.Milliseconds())
-	}
+	b.blame(e, t.group.job, now)
 	failures := int32(0)
 	if t.group.step.GetGang() {
 		t.group.failures++
@@ -446,6 +444,25 @@
 	b.close(t.group.job, cellpb.State_STATE_FAILED, now)
 }
 
+// blame tells a job that fails everywhere from an executor that fails everything.
+func (b *Board) blame(e *executor, j *job, now Instant) {
+	id := j.spec.GetId()
+	if j.failedAt == nil {
+		j.failedAt = map[string]bool{}
+	}
+	j.failedAt[e.agent] = true
+	if len(j.failedAt) >= faultyJob {
+		for agent := range j.failedAt {
+			b.executors[agent].health.acquit(id)
+		}
+		return
+	}
+	if e.health.failed(id, now.Boot) {
+		b.config.Log("executor set aside", "agent", e.agent, "executor", e.life, "failing", len(e.health.failing),
+			"for", e.health.duration.Milliseconds())
+	}
+}
+
 // breakGang stops the other members of a gang of which one is gone.
 func (b *Board) breakGang(g *group) {
 	if !g.step.GetGang() || g.done() {
--- a/dispatch/estimates.go
+++ b/dispatch/estimates.go
@@ -46,6 +46,12 @@
 	e.mean += time.Duration(learnRate * float64(ran-e.mean))
 }
 
+// known reports whether the estimate comes from what ran.
+func (s estimates) known(g *group) bool {
+	e, ok := s.queues[g.job.spec.GetQueue()]
+	return ok && e.samples >= minSamples
+}
+
 // of returns the expected run time of a task.
 func (s estimates) of(g *group) time.Duration {
 	e, ok := s.queues[g.job.spec.GetQueue()]
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -48,7 +48,7 @@
 		return cmp.Or(cmp.Compare(x.left, y.left), cmp.Compare(x.place.task.id.String(), y.place.task.id.String()))
 	})
 	after := sort.Search(len(ends), func(count int) bool {
-		return pack(u, sites, b.roomAfter(v, ends[:count+1])) != nil
+		return b.pack(v, u, sites, b.roomAfter(v, ends[:count+1])) != nil
 	})
 	if after == len(ends) {
 		return 0, false
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	// faultyJob is at how many executors a job fails before the job is taken to be the cause.
+	faultyJob = 3
 	// suspectFailures is how many runs of different jobs must fail in a row before an executor is set aside.
 	suspectFailures = 2
 	// firstQuarantine and maxQuarantine bound how long a suspect executor gets no work; it doubles with each relapse.
@@ -38,6 +40,11 @@
 	return true
 }
 
+// acquit forgets the failures of a job that fails everywhere.
+func (h *health) acquit(job string) {
+	delete(h.failing, job)
+}
+
 // setAside keeps work away for a while; the next failure after that is enough to set the executor aside again.
 func (h *health) setAside(now time.Duration) {
 	h.duration = min(max(2*h.duration, firstQuarantine), maxQuarantine)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -23,6 +23,8 @@
 	dirty  bool
 	// seen is when the scheduler learned of the job.
 	seen time.Duration
+	// failedAt are the agents where runs of the job failed.
+	failedAt map[string]bool
 }
 
 // group is one step of one occurrence.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -27,14 +27,11 @@
 	b.replan = false
 	b.planned = now.Boot
 	b.openOccurrences(now)
-	units := b.units(now)
-	if len(units) == 0 {
-		return
-	}
 	v := b.newView(now)
-	for _, u := range units {
+	for _, u := range b.units(now) {
 		b.placeUnit(v, u, now)
 	}
+	b.moveFromSlow(v, now)
 }
 
 func (b *Board) openOccurrences(now Instant) {
@@ -51,7 +48,7 @@
 	}
 	racks := b.racks(v, u.group)
 	for _, sites := range b.choices(racks, u) {
-		if chosen := pack(u, sites, freeRoom); chosen != nil {
+		if chosen := b.pack(v, u, sites, freeRoom); chosen != nil {
 			b.assign(u, chosen, now)
 			return
 		}
@@ -97,7 +94,7 @@
 }
 
 // pack places each task on the site that it leaves with the least room, and returns nil if one doesn't fit.
-func pack(u *unit, sites []*site, roomAt func(s *site) room) assignment {
+func (b *Board) pack(v *view, u *unit, sites []*site, roomAt func(s *site) room) assignment {
 	need := roomOf(u.group.step)
 	left := make(map[*site]room, len(sites))
 	for _, s := range sites {
@@ -106,7 +103,7 @@
 	taken := spreadOf(u.group)
 	chosen := make(assignment, 0, len(u.tasks))
 	for _, t := range u.tasks {
-		best := bestSite(sites, left, need, t, taken)
+		best := v.bestSite(sites, left, need, t, taken)
 		if best == nil {
 			return nil
 		}
@@ -121,10 +118,10 @@
 	return s.free
 }
 
-func bestSite(sites []*site, left map[*site]room, need room, t *task, taken map[string]int) *site {
+func (v *view) bestSite(sites []*site, left map[*site]room, need room, t *task, taken map[string]int) *site {
 	var best *site
 	for _, s := range sites {
-		if !left[s].fits(need) || crowded(t.group.step, taken[s.agent]) {
+		if !left[s].fits(need) || crowded(t.group.step, taken[s.agent]) || !v.trusted(s, t, taken) {
 			continue
 		}
 		if best == nil || compareSites(s, best, left, t) < 0 {
@@ -171,6 +168,7 @@
 	for i, t := range u.tasks {
 		s := chosen[i]
 		s.free = s.free.minus(need)
+		s.idle = false
 		t.run = run + 1
 		if u.group.step.GetGang() {
 			t.checkpoint = checkpoint
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -58,8 +58,8 @@
 	}
 	stopped := map[*placement]bool{}
 	taken := spreadOf(u.group)
-	for range u.tasks {
-		s, stops := b.cheapest(v, u, sites, left, stopped, taken, now)
+	for _, t := range u.tasks {
+		s, stops := b.cheapest(v, u, t, sites, left, stopped, taken, now)
 		if s == nil {
 			return nil
 		}
@@ -79,12 +79,13 @@
 }
 
 func (b *Board) cheapest(
-	v *view, u *unit, sites []*site, left map[*site]room, stopped map[*placement]bool, taken map[string]int, now Instant,
+	v *view, u *unit, t *task, sites []*site, left map[*site]room, stopped map[*placement]bool, taken map[string]int,
+	now Instant,
 ) (*site, []*placement) {
 	var best *site
 	var bestStops []*placement
 	for _, s := range sites {
-		if crowded(u.group.step, taken[s.agent]) {
+		if crowded(u.group.step, taken[s.agent]) || !v.trusted(s, t, taken) {
 			continue
 		}
 		stops, ok := b.stopsAt(v, s, u, left[s], stopped, now)
--- /dev/null
+++ b/dispatch/sick_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+// Load: one executor fails whatever it starts, at once, and is therefore always free, while the others are busy. A task
+// that failed there must wait for a sound executor rather than use its last try up.
+func TestFailedTaskAvoidsAnExecutorThatFails(t *testing.T) {
+	r := newRig(t)
+	r.report("agent-1", "r1", nil)
+	r.report("agent-2", "r1", nil)
+	r.submit(oneTask("a000000000000001", "renders", "schools", 8))
+	r.submit(oneTask("a000000000000002", "renders", "schools", 8))
+	r.store()
+	failing, busy := r.board.findTask("a000000000000001.0.0.0").place, r.board.findTask("a000000000000002.0.0.0").place
+	r.report(busy.agent, "r1", running(busy.task.id.String()))
+	r.report(failing.agent, "r1", func(report *cellpb.Report) {
+		report.Ended = []*cellpb.EndedTask{
+			{Number: 1, Task: failing.task.id.String(), Run: 1, Kind: cellpb.EndKind_END_KIND_FAILED},
+		}
+	})
+	r.pass(time.Second)
+	r.report(busy.agent, "r1", running(busy.task.id.String()))
+	r.store()
+	require.Nil(t, failing.task.place, "the only free executor failed it before")
+
+	fresh := oneTask("a000000000000003", "renders", "schools", 1)
+	r.submit(fresh)
+	r.submit(oneTask("a000000000000004", "renders", "schools", 1))
+	r.store()
+	placed := 0
+	for _, id := range []string{"a000000000000003", "a000000000000004"} {
+		if r.board.findTask(id+".0.0.0").place != nil {
+			placed++
+		}
+	}
+	require.Equal(t, 1, placed, "a suspect executor is probed with one fresh task at a time")
+}
+
+// Load: a job that can never be done fails on one executor after the other. The executors must not be taken for sick.
+func TestJobThatFailsEverywhereBlamesNoExecutor(t *testing.T) {
+	r := newRig(t)
+	agents := []string{"agent-1", "agent-2", "agent-3"}
+	for _, agent := range agents {
+		r.report(agent, "r1", nil)
+	}
+	j := newJob(oneTask("a000000000000001", "renders", "schools", 1), r.now)
+	for _, agent := range agents {
+		r.board.blame(r.board.executors[agent], j, r.now)
+	}
+	for _, agent := range agents {
+		require.Empty(t, r.board.executors[agent].health.failing, agent)
+	}
+}
+
+// Load: an executor reports itself as sound and its runs stand still. They must be stopped and placed elsewhere.
+func TestRunThatStandsStillIsStopped(t *testing.T) {
+	r := newRig(t)
+	r.report("agent-1", "r1", nil)
+	r.submit(oneTask("a000000000000001", "renders", "schools", 1))
+	r.store()
+	for range 5 {
+		r.report("agent-1", "r1", running("a000000000000001.0.0.0"))
+		r.store()
+		r.pass(time.Second)
+	}
+	require.Len(t, r.board.Orders("agent-1", r.now).GetStops(), 1)
+	require.False(t, r.board.executors["agent-1"].health.usable(r.now.Boot))
+}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -16,6 +16,9 @@
 	ending room
 	// usable sites take new work now.
 	usable bool
+	// idle sites run nothing, slow ones run what they run far too slowly.
+	idle bool
+	slow bool
 }
 
 // view is the cell during one pass of the planner.
@@ -27,6 +30,8 @@
 	// full are the groups of which a task didn't fit in this pass.
 	full        map[*group]bool
 	preemptions int
+	// sound is how many usable sites give no reason for suspicion.
+	sound int
 }
 
 func (b *Board) newView(now Instant) *view {
@@ -49,6 +54,7 @@
 	}
 	slices.SortFunc(v.sites, func(x, y *site) int { return strings.Compare(x.agent, y.agent) })
 	for _, s := range v.sites {
+		s.idle = len(b.placed[s.agent]) == 0
 		for place := range b.placed[s.agent] {
 			if place.life != s.life {
 				continue
@@ -60,6 +66,12 @@
 			}
 		}
 	}
+	b.watch(v, now)
+	for _, s := range v.sites {
+		if s.usable && !s.suspect() {
+			v.sound++
+		}
+	}
 	return v
 }
 
