--- a/cmd/cellentrycmd.go
+++ b/cmd/cellentrycmd.go
@@ -95,7 +95,10 @@
 		Mirror:  e.mirror,
 		Next:    e.cell.Next,
 		Await:   e.cell.Await,
-		Append:  e.topic.Append,
+		Gone: func(ctx context.Context, claim *cellpb.Claim) bool {
+			return e.peers.Gone(ctx, claim)
+		},
+		Append: e.topic.Append,
 		Dispatch: dispatch.Config{
 			Grant:     grant,
 			StopGrace: process.read.Stop,
@@ -112,6 +115,7 @@
 		Mirror:   e.mirror,
 		StateAge: e.cell.Age,
 		Report:   e.scheduler.Report,
+		Leading:  e.scheduler.Leading,
 		Append:   e.topic.Append,
 		Exchange: process.pool.Exchange,
 	})
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -27,6 +27,12 @@
 	lookupTick = 20 * time.Millisecond
 	// stateAge is how old the knowledge of jobs may be to deny one.
 	stateAge = 2500 * time.Millisecond
+	// readyAge is how old the knowledge of the operators' log may be for new connections to come here. Each poll waits a
+	// second, so knowledge is up to 2 s old before the next poll confirms it.
+	readyAge = 2600 * time.Millisecond
+	// lostAge is how old the knowledge of the cell's log is when the store is taken to be out of reach. The scheduler's
+	// heartbeats keep it far below.
+	lostAge = 1500 * time.Millisecond
 	// keyMargin is kept of the time in which a key that was taken away may still open something.
 	keyMargin = 300 * time.Millisecond
 	// retryAfter tells callers when an entry that can't answer is worth another try.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,7 +83,7 @@
 // Ready reports whether new connections should come to this entry.
 func (g *Gateway) Ready() bool {
 	age, ok := g.config.OperationsAge()
-	return ok && g.config.Mirror.Operations().Known && age < g.config.KeyLimit-keyMargin && !g.leaving.Load()
+	return ok && g.config.Mirror.Operations().Known && age < readyAge && !g.leaving.Load()
 }
 
 // Submit stores a job.
@@ -207,7 +207,8 @@
 			limit *= 2
 		}
 		g.config.Logger.Warn("not stored", "key", entry.Key, "try", try, "unknown", unknown, "error", err)
-		if !unknown && g.config.Boot.Now()-began > refusedLimit {
+		if !unknown && (g.outOfReach() || g.config.Boot.Now()-began > refusedLimit) {
+			// Nothing was stored, and the caller can try another entry.
 			break
 		}
 		select {
@@ -227,11 +228,18 @@
 	}
 }
 
+// outOfReach reports whether the store didn't answer this entry lately. Such an entry asks the others to store, and
+// refuses what they don't take, rather than leave callers without a certain answer.
+func (g *Gateway) outOfReach() bool {
+	age, ok := g.config.StateAge()
+	return !ok || age > lostAge
+}
+
 // tryStore takes turns between the store and the other entries.
 func (g *Gateway) tryStore(ctx context.Context, entry cell.Entry, try int, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	if try%2 == 1 && g.config.Relay != nil {
+	if g.config.Relay != nil && (try%2 == 1 || g.outOfReach()) {
 		return g.config.Relay(ctx, &cellpb.Append{
 			Key:   entry.Key,
 			Value: entry.Value,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -13,6 +14,7 @@
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 	"radishpath.example/radishpath/mirror"
+	"radishpath.example/radishpath/peer"
 )
 
 const (
@@ -39,6 +41,8 @@
 	StateAge func() (time.Duration, bool)
 	// Report hands a report to the scheduler of this process; false if it isn't the cell's.
 	Report func(ctx context.Context, report *cellpb.Report) (*cellpb.Orders, bool)
+	// Leading returns the epoch under which this process schedules, 0 if it doesn't.
+	Leading func() int64
 	// Append stores entries in the cell's log.
 	Append func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, at int64) (int64, error)
 	// Exchange makes a call of the peer protocol.
@@ -67,6 +71,7 @@
 	case *cellpb.Request_Ask:
 		claim, _ := p.config.Mirror.Claim()
 		return &cellpb.Reply{
+			Leading: p.config.Leading(),
 			Body: &cellpb.Reply_Claim{
 				Claim: claim,
 			},
@@ -86,7 +91,7 @@
 		switch {
 		case err == nil && reply.GetAppended().GetStored():
 			return nil
-		case err == nil && reply.GetError() == "":
+		case errors.Is(err, peer.ErrNotSent), err == nil && reply.GetError() == "":
 			failure = errors.Join(failure, fmt.Errorf("%s: %w", address, cell.ErrRefused))
 		default:
 			failure = errors.Join(failure, fmt.Errorf("%s: %s: %w: %w", address, reply.GetError(), cell.ErrUnknown, err))
@@ -122,6 +127,23 @@
 	}
 }
 
+// Gone reports whether the holder of a claim surely doesn't schedule any more: its process is gone, or says so.
+func (p *Peers) Gone(ctx context.Context, claim *cellpb.Claim) bool {
+	if claim.GetAddress() == p.config.Address {
+		// An earlier run of this process.
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	reply := &cellpb.Reply{}
+	request := &cellpb.Request{Body: &cellpb.Request_Ask{Ask: &cellpb.Ask{}}}
+	err := p.config.Exchange(ctx, claim.GetAddress(), request, reply)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return reply.GetLeading() != claim.GetEpoch()
+}
+
 func (p *Peers) ask(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,7 +45,8 @@
 	claimed(t, own, 1, "old:1")
 	claimed(t, other, 2, "new:1")
 	answering := NewPeers(PeersConfig{
-		Mirror: other,
+		Mirror:  other,
+		Leading: func() int64 { return 2 },
 	})
 	asking := NewPeers(PeersConfig{
 		Address:  "old:1",
@@ -67,3 +70,34 @@
 	cancel()
 	require.NoError(t, <-ended)
 }
+
+// A scheduler whose process was killed must be replaced at once, and one that is merely slow to write must not.
+func TestGone(t *testing.T) {
+	claim := &cellpb.Claim{
+		Epoch:   2,
+		Address: "other:1",
+	}
+	tests := []struct {
+		name    string
+		leading int64
+		err     error
+		want    bool
+	}{
+		{name: "still schedules", leading: 2, want: false},
+		{name: "started anew", leading: 0, want: true},
+		{name: "process is gone", err: fmt.Errorf("dial: %w", syscall.ECONNREFUSED), want: true},
+		{name: "can't be reached", err: context.DeadlineExceeded, want: false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			peers := NewPeers(PeersConfig{
+				Address: "own:1",
+				Exchange: func(_ context.Context, _ string, _, reply proto.Message) error {
+					reply.(*cellpb.Reply).Leading = test.leading
+					return test.err
+				},
+			})
+			require.Equal(t, test.want, peers.Gone(t.Context(), claim))
+		})
+	}
+}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -10,6 +10,7 @@
 
 	"radishpath.example/radishpath/boottime"
 	"radishpath.example/radishpath/cell"
+	"radishpath.example/radishpath/cell/cellpb"
 	"radishpath.example/radishpath/dispatch"
 	"radishpath.example/radishpath/mirror"
 )
@@ -21,6 +22,8 @@
 	heartbeat = 300 * time.Millisecond
 	// silence is how long the scheduler may be silent in the log before an entry claims its place.
 	silence = time.Second
+	// askSilence is how long the scheduler may be silent before it is asked whether it is still there.
+	askSilence = 400 * time.Millisecond
 	// smallDelay is how much later an entry claims that has no processor at all.
 	smallDelay = 400 * time.Millisecond
 	// Validity is how long after its last confirmed append a scheduler extends leases.
@@ -56,6 +59,8 @@
 	Next func() int64
 	// Await waits until the mirror has read beyond an offset.
 	Await func(ctx context.Context, offset int64) error
+	// Gone reports whether the holder of a claim surely doesn't schedule any more.
+	Gone func(ctx context.Context, claim *cellpb.Claim) bool
 	// Append stores entries in the cell's log.
 	Append   func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, at int64) (int64, error)
 	Dispatch dispatch.Config
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -82,7 +82,7 @@
 		return claim.GetEpoch(), true
 	}
 	silent := s.config.Boot.Now() - heard
-	if claim.GetEpoch() != 0 && !claim.GetResigned() && silent < silence+s.delay() {
+	if claim.GetEpoch() != 0 && !claim.GetResigned() && !s.vacant(ctx, claim, silent) {
 		return 0, false
 	}
 	at := s.config.Next()
@@ -110,6 +110,27 @@
 	return next.GetEpoch(), s.readBack(ctx, next, offset)
 }
 
+// vacant reports whether the scheduler is gone, or silent for so long that it must be replaced.
+func (s *Scheduler) vacant(ctx context.Context, claim *cellpb.Claim, silent time.Duration) bool {
+	switch {
+	case silent >= silence+s.delay():
+		return true
+	case silent < askSilence+s.delay():
+		return false
+	}
+	return s.config.Gone(ctx, claim)
+}
+
+// Leading returns the epoch under which this process schedules, 0 if it doesn't.
+func (s *Scheduler) Leading() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.term == nil {
+		return 0
+	}
+	return s.term.epoch
+}
+
 // delay is how much later than the largest entries this one claims.
 func (s *Scheduler) delay() time.Duration {
 	return time.Duration(max(1-s.config.Cores, 0) * float64(smallDelay))
