--- a/dispatch/executor.go
+++ b/dispatch/executor.go
@@ -69,6 +69,8 @@
 	// strays are runs that must not exist.
 	strays map[string]*cellpb.Stop
 	health health
+	// slowUntil is how long the executor counts as slow.
+	slowUntil time.Duration
 	// version changes with what there is to tell the agent.
 	version int64
 	// holdOff keeps new work away after the executor refused a start.
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -32,9 +32,9 @@
 	return max(total-elapsed, 0)
 }
 
-// fitsIn returns when the unit is expected to fit on some of the sites as runs end by themselves; false if it never
-// does.
-func (b *Board) fitsIn(v *view, u *unit, sites []*site, now Instant) (time.Duration, bool) {
+// fitsIn returns where and when the unit is expected to fit on some of the sites as runs end by themselves; nil if it
+// never does.
+func (b *Board) fitsIn(v *view, u *unit, sites []*site, now Instant) (assignment, time.Duration) {
 	var ends []forecast
 	b.eachPlacement(func(place *placement) {
 		if _, ok := v.byLife[place.life]; ok {
@@ -51,9 +51,9 @@
 		return b.pack(v, u, sites, b.roomAfter(v, ends[:count+1])) != nil
 	})
 	if after == len(ends) {
-		return 0, false
+		return nil, 0
 	}
-	return ends[after].left, true
+	return b.pack(v, u, sites, b.roomAfter(v, ends[:after+1])), ends[after].left
 }
 
 // roomAfter returns the room of a site once some runs have ended.
@@ -75,14 +75,19 @@
 	latePart = 0.3
 )
 
-// canWait reports whether a unit should wait for room that frees by itself rather than stop other work.
-func (b *Board) canWait(v *view, u *unit, sites []*site, now Instant) bool {
+// awaitRoom reports whether a unit should wait for room that frees by itself rather than stop other work. The room is
+// kept for it, or whatever comes next would take it.
+func (b *Board) awaitRoom(v *view, u *unit, sites []*site, now Instant) bool {
 	if !u.guaranteed && u.slack < -time.Duration(latePart*float64(b.objective(u.group.job))) {
 		return true
 	}
-	left, ok := b.fitsIn(v, u, sites, now)
-	if !ok || left >= u.slack {
+	chosen, left := b.fitsIn(v, u, sites, now)
+	if chosen == nil || left >= u.slack || (u.guaranteed && u.waited+left >= reclaimPatience) {
 		return false
 	}
-	return !u.guaranteed || u.waited+left < reclaimPatience
+	need := roomOf(u.group.step)
+	for _, s := range chosen {
+		s.free = s.free.minus(need)
+	}
+	return true
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -50,7 +50,9 @@
 	checkpoint string
 	// place is where the task's run may exist; nil if it exists nowhere.
 	place *placement
-	// failedOn is the agent where the last run failed.
+	// moved is set once a run of the task was moved from a slow executor.
+	moved bool
+	// failedOn is the agent where the last run failed, stood still or crawled.
 	failedOn string
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -60,7 +60,7 @@
 		}
 		v.preemptions++
 	}
-	if !b.canWait(v, u, slices.Concat(racks...), now) {
+	if !b.awaitRoom(v, u, slices.Concat(racks...), now) {
 		b.reclaim(v, u, racks, now)
 	}
 }
--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -96,3 +96,28 @@
 	r.store()
 	require.Empty(t, r.board.Orders("agent-1", r.now).GetStops())
 }
+
+// Load: many small tasks of a lower priority wait beside one large urgent task. Room that is freed for the urgent task
+// must not go to the small ones: in an incident the same tasks were placed and stopped again six times.
+func TestRoomThatIsFreedIsKept(t *testing.T) {
+	r := newRig(t)
+	r.report("agent-1", "r1", nil)
+	small := oneTask("a000000000000001", "renders", "schools", 4)
+	small.Steps[0].Count = 6
+	r.submit(small)
+	r.store()
+	r.report("agent-1", "r1", running("a000000000000001.0.0.0", "a000000000000001.0.0.1"))
+	r.pass(time.Second)
+	r.submit(oneTask("b000000000000001", "quotes", "weddings", 8))
+	r.store()
+	require.Len(t, r.board.Orders("agent-1", r.now).GetStops(), 2)
+
+	r.report("agent-1", "r1", func(report *cellpb.Report) {
+		running("a000000000000001.0.0.1")(report)
+		report.Ended = []*cellpb.EndedTask{
+			{Number: 1, Task: "a000000000000001.0.0.0", Run: 1, Kind: cellpb.EndKind_END_KIND_STOPPED},
+		}
+	})
+	r.store()
+	require.Empty(t, r.board.Orders("agent-1", r.now).GetStarts(), "half of the room is free and kept")
+}
--- a/dispatch/sick.go
+++ b/dispatch/sick.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 )
 
@@ -14,6 +15,9 @@
 	slowFactor = 4
 	// slowAfter is how long a run is watched before its pace says anything.
 	slowAfter = time.Second
+	// slowMemory is how long an executor counts as slow after a run crawled there. Without it the executor would look
+	// sound as soon as its runs were moved away, and get them back.
+	slowMemory = 8 * time.Second
 	// moveGain is how much sooner a run must be expected to end elsewhere to be moved.
 	moveGain = 2
 )
@@ -22,7 +26,6 @@
 // answers the load in which some executors hang or crawl while they report themselves as sound.
 func (b *Board) watch(v *view, now Instant) {
 	for _, s := range v.sites {
-		s.slow = false
 		for place := range b.placed[s.agent] {
 			if place.life != s.life || !place.running || place.stopping || place.task.done {
 				continue
@@ -32,6 +35,7 @@
 			}
 			b.watchRun(s, place, now)
 		}
+		s.slow = now.Boot < s.slowUntil
 	}
 }
 
@@ -54,36 +58,55 @@
 		return
 	}
 	total := elapsed * 100 / time.Duration(done)
-	if total > time.Duration(slowFactor*b.config.FarFactor)*expected {
-		s.slow = true
+	if total <= time.Duration(slowFactor*b.config.FarFactor)*expected {
+		return
+	}
+	if now.Boot >= s.slowUntil {
+		b.config.Log("executor is slow", "agent", s.agent, "task", place.task.id.String(), "expected",
+			expected.Milliseconds(), "total", total.Milliseconds())
 	}
+	s.slowUntil = now.Boot + slowMemory
 }
 
-// moveFromSlow stops runs on slow executors that would end sooner if they began again on a sound one with room.
+// moveFromSlow stops runs on slow executors that would end sooner if they began again on a sound one with room. A run
+// moves once: what is slow everywhere is slow by itself.
 func (b *Board) moveFromSlow(v *view, now Instant) {
 	for _, s := range v.sites {
 		if !s.slow {
 			continue
 		}
 		for place := range b.placed[s.agent] {
-			if !place.running || place.stopping || place.task.done || place.task.group.step.GetGang() {
+			t := place.task
+			if !place.running || place.stopping || t.done || t.moved || t.group.step.GetGang() {
 				continue
 			}
-			expected := b.estimates.of(place.task.group)
-			if b.remaining(place, now) < moveGain*expected {
+			if b.remaining(place, now) < moveGain*b.estimates.of(t.group) {
 				continue
 			}
-			u := b.newUnit(place.task.group, v.needs, now)
-			u.tasks = []*task{place.task}
-			if chosen := b.pack(v, u, v.sites, freeRoom); chosen != nil {
-				b.config.Log("run moves from a slow executor", "task", place.task.id.String(), "agent", s.agent)
-				chosen[0].free = chosen[0].free.minus(roomOf(place.task.group.step))
+			if chosen := b.moveTo(v, t, now); chosen != nil {
+				b.config.Log("run moves from a slow executor", "task", t.id.String(), "agent", s.agent, "to", chosen.agent)
+				chosen.free = chosen.free.minus(roomOf(t.group.step))
+				t.moved = true
+				t.failedOn = s.agent
 				b.stop(place)
 			}
 		}
 	}
 }
 
+// moveTo returns a sound site with room for a task, among those that the planner would choose from.
+func (b *Board) moveTo(v *view, t *task, now Instant) *site {
+	u := b.newUnit(t.group, v.needs, now)
+	u.tasks = []*task{t}
+	for _, sites := range b.choices(b.racks(v, t.group), u) {
+		sound := slices.DeleteFunc(slices.Clone(sites), func(s *site) bool { return s.suspect() })
+		if chosen := b.pack(v, u, sound, freeRoom); chosen != nil {
+			return chosen[0]
+		}
+	}
+	return nil
+}
+
 // trusted reports whether a site may take a task. A site whose last runs failed is probed with one fresh task at a time:
 // as it fails quickly, it would otherwise be free again at once and draw in everything that waits. A task that failed
 // before goes only where nothing fails, as long as there is such a site.
--- a/dispatch/sick_test.go
+++ b/dispatch/sick_test.go
@@ -73,3 +73,35 @@
 	require.Len(t, r.board.Orders("agent-1", r.now).GetStops(), 1)
 	require.False(t, r.board.executors["agent-1"].health.usable(r.now.Boot))
 }
+
+// Load: an executor crawls. Its run moves to a sound one, once, and doesn't come back: in an incident runs went to and
+// fro between two slow executors and threw 1,900 core-seconds away.
+func TestRunMovesFromASlowExecutorOnce(t *testing.T) {
+	r := newRig(t)
+	r.report("agent-1", "r1", nil)
+	r.submit(oneTask("a000000000000001", "renders", "schools", 1))
+	r.store()
+	r.board.estimates.queues["renders"] = &estimate{mean: time.Second, samples: minSamples}
+	task := r.board.findTask("a000000000000001.0.0.0")
+	for percent := range int32(4) {
+		r.report("agent-1", "r1", func(report *cellpb.Report) {
+			running(task.id.String())(report)
+			report.Running[0].Percent = percent
+		})
+		r.store()
+		r.pass(time.Second)
+	}
+	require.True(t, r.now.Boot < r.board.executors["agent-1"].slowUntil)
+	require.Empty(t, r.board.Orders("agent-1", r.now).GetStops(), "there is nowhere else to go")
+
+	r.report("agent-2", "r1", nil)
+	r.store()
+	require.Len(t, r.board.Orders("agent-1", r.now).GetStops(), 1)
+	r.report("agent-1", "r1", func(report *cellpb.Report) {
+		report.Ended = []*cellpb.EndedTask{
+			{Number: 1, Task: task.id.String(), Run: 1, Kind: cellpb.EndKind_END_KIND_STOPPED},
+		}
+	})
+	r.store()
+	require.Equal(t, "agent-2", task.place.agent)
+}
--- a/node/report.go
+++ b/node/report.go
@@ -12,27 +12,43 @@
 // relays is how many other agents are tried when no entry answers.
 const relays = 3
 
-// retryTarget is how long an address that didn't answer is passed over.
-const retryTarget = 2 * time.Second
+const (
+	// retryTarget is how long an address that didn't answer is passed over, retryNobody one that knew no scheduler: the
+	// next scheduler may be known at any moment.
+	retryTarget = 2 * time.Second
+	retryNobody = 150 * time.Millisecond
+)
 
 // targets chooses where reports go.
 type targets struct {
-	failed map[string]time.Duration
+	// until is when an address that failed is tried again.
+	until map[string]time.Duration
 }
 
-// choose returns the first candidate that didn't fail lately, else the one whose failure is oldest.
+// choose returns the first candidate that may be tried, else the one that may be tried soonest.
 func (t *targets) choose(candidates []string, now time.Duration) string {
-	oldest := ""
+	soonest := ""
 	for _, candidate := range candidates {
-		at, failed := t.failed[candidate]
-		if !failed || now-at > retryTarget {
+		if now >= t.until[candidate] {
 			return candidate
 		}
-		if oldest == "" || at < t.failed[oldest] {
-			oldest = candidate
+		if soonest == "" || t.until[candidate] < t.until[soonest] {
+			soonest = candidate
 		}
 	}
-	return oldest
+	return soonest
+}
+
+// settle takes note of how a call to an address ended.
+func (t *targets) settle(address string, err error, now time.Duration) {
+	switch {
+	case err == nil:
+		delete(t.until, address)
+	case errors.Is(err, errNoScheduler):
+		t.until[address] = now + retryNobody
+	default:
+		t.until[address] = now + retryTarget
+	}
 }
 
 // callResult is how a call to the scheduler ended.
@@ -45,7 +61,7 @@
 // reportLoop keeps one call waiting for orders at the scheduler, and makes another as soon as there is news.
 func (n *Node) reportLoop(ctx context.Context) {
 	to := &targets{
-		failed: map[string]time.Duration{},
+		until: map[string]time.Duration{},
 	}
 	results := make(chan callResult, 1)
 	calls, cancel := context.WithCancel(ctx)
@@ -70,10 +86,8 @@
 		case <-n.config.Clock.After(callLimit + reportInterval):
 			return true
 		case result := <-results:
-			if result.err == nil {
-				delete(to.failed, result.address)
-			} else {
-				to.failed[result.address] = n.config.Boot.Now()
+			to.settle(result.address, result.err, n.config.Boot.Now())
+			if result.err != nil {
 				n.config.Logger.Warn("report failed", "address", result.address, "error", result.err)
 			}
 			if result.sequence < sequence && result.address == address {
