--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,9 @@
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 SKIP := $(if $(RED),-skip '$(RED)')
 
+# Names of the platform's wire, which only its adapter and the stand-ins may use.
+PLATFORM := 'lastSeen|endedRuns|runningRuns|jobSpec|heartbeatAddr|remainingMs|log-(append|read|newest)|run-(start|stop)|"keyed\.(op|status|servers)|clockMs|RADISHPATH_BOOT'
+
 .PHONY: build capacity demo test lint generate bench fmt
 
 build:
@@ -22,11 +25,15 @@
 test: lint build
 	go test -count=1 -timeout 4m $(SKIP) $$(go list ./... | grep -v '/proof$$')
 	go test -count=1 -timeout 8m -parallel 3 $(SKIP) ./proof
+	go run ./soak -bin bin/radishpath -seed 1 -seconds 15
+	go run ./soak -bin bin/radishpath -seed 2 -seconds 15
 	@if [ -n "$(RED)" ]; then echo 'known red, passed over:'; cat KNOWN-RED.txt; fi
 
 lint:
 	$(LINT) config verify
 	$(LINT) run ./...
+	@if git grep -nE $(PLATFORM) -- '*.go' ':!platform' ':!standin' ':!soak'; then \
+		echo 'names of the platform outside platform/'; exit 1; fi
 
 fmt:
 	$(LINT) fmt ./...
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -1,6 +1,6 @@
-// Package dispatch decides what runs where in a cell. It is pure: reports, jobs and the time go in; orders, acknowledged
-// ends and progress records come out. The caller stores the progress of a batch before the orders of that batch become
-// visible.
+// Package dispatch decides what runs where in a cell. It is pure: reports, jobs and the time go in; orders,
+// acknowledged ends and progress records come out. The caller stores the progress of a batch before the orders of
+// that batch become visible.
 //
 // # Usage
 //
--- a/dispatch/estimates.go
+++ b/dispatch/estimates.go
@@ -52,6 +52,11 @@
 	return ok && e.samples >= minSamples
 }
 
+// least returns the lower of the declared and the learned run time.
+func (s estimates) least(g *group) time.Duration {
+	return min(s.of(g), time.Duration(g.step.GetEstimateMs())*time.Millisecond)
+}
+
 // of returns the expected run time of a task.
 func (s estimates) of(g *group) time.Duration {
 	e, ok := s.queues[g.job.spec.GetQueue()]
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -67,8 +67,8 @@
 }
 
 const (
-	// reclaimPatience is how long after its acceptance guaranteed work may wait for room that frees by itself. It leaves
-	// time to stop other work within the limit for reclaiming.
+	// reclaimPatience is how long after its acceptance guaranteed work may wait for room that frees by itself. It
+	// leaves time to stop other work within the limit for reclaiming.
 	reclaimPatience = 1200 * time.Millisecond
 	// latePart of its objective is how far urgent work may be behind and still stop other work: estimates are off, but
 	// work that is surely late gains little.
@@ -82,7 +82,7 @@
 		return true
 	}
 	chosen, left := b.fitsIn(v, u, sites, now)
-	if chosen == nil || left >= u.slack || (u.guaranteed && u.waited+left >= reclaimPatience) {
+	if chosen == nil || left >= u.leastSlack/2 || (u.guaranteed && u.waited+left >= reclaimPatience) {
 		return false
 	}
 	need := roomOf(u.group.step)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -36,6 +36,8 @@
 	tasks      []*task
 	// failures counts failed runs of a gang as a whole.
 	failures int32
+	// stops counts the runs that were stopped for urgent work.
+	stops int
 	// retryAt holds the group back after a refused start.
 	retryAt time.Duration
 }
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -10,18 +10,25 @@
 type reclamation struct {
 	chosen assignment
 	stops  []*placement
-	waste  float64
+	cost   float64
 }
 
-// preemptShare is how much work may be thrown away for urgent work that isn't guaranteed, as a share of that work.
+// preemptShare is how much weighed work may be thrown away for urgent work that isn't guaranteed, as a share of that
+// work.
 const preemptShare = 1.0
 
-// priorityWaste weighs stopped work of priority 0: it is as urgent as what it would make room for.
-const priorityWaste = 10
+// Weights of stopped work by its priority: work of priority 0 is as urgent as what it would make room for, and of the
+// rest the least urgent is stopped first. Work of priority 1 loses most of its worth when it begins again in a full
+// cell.
+const (
+	urgentWeight   = 10
+	ordinaryWeight = 4
+)
 
-// reclaim stops other work so that urgent work can begin. It answers the load in which long work fills the cell before a
-// burst of urgent work comes: guaranteed work begins within its time limit whatever is stopped, other urgent work only
-// where it throws away little. The room that is being freed is kept for the unit, also in the passes until it is free.
+// reclaim stops other work so that urgent work can begin. It answers the load in which long work fills the cell
+// before a burst of urgent work comes: guaranteed work begins within its time limit whatever is stopped, other urgent
+// work only where it throws away little. The room that is being freed is kept for the unit, also in the passes until
+// it is free.
 func (b *Board) reclaim(v *view, u *unit, racks [][]*site, now Instant) {
 	var best *reclamation
 	for _, sites := range b.choices(racks, u) {
@@ -30,11 +37,11 @@
 			continue
 		}
 		// The sets come with the best first; a later one, where the work runs longer, must save much.
-		if best == nil || found.waste < best.waste/b.config.FarFactor {
+		if best == nil || found.cost < best.cost/b.config.FarFactor {
 			best = found
 		}
 	}
-	if best == nil || (!u.guaranteed && best.waste > preemptShare*b.work(u)) {
+	if best == nil || (!u.guaranteed && best.cost > preemptShare*b.work(u)) {
 		return
 	}
 	need := roomOf(u.group.step)
@@ -44,6 +51,7 @@
 	for _, place := range best.stops {
 		b.config.Log("reclaim", "for", u.tasks[0].id.String(), "task", place.task.id.String(), "run", place.run,
 			"agent", place.agent, "waste", waste(place, now))
+		place.task.group.stops++
 		b.stop(place)
 	}
 }
@@ -70,7 +78,7 @@
 			}
 		}
 		found.stops = append(found.stops, stops...)
-		found.waste += b.cost(stops, now)
+		found.cost += b.cost(stops, now)
 		left[s] = left[s].minus(need)
 		taken[s.agent]++
 		found.chosen = append(found.chosen, s)
@@ -159,15 +167,19 @@
 	return u.guaranteed && needs[spec.GetWorkspace()] > b.operations.Config.Guaranteed(spec.GetWorkspace())
 }
 
-// cost is the work that is thrown away with some runs, weighed by how urgent it was.
+// cost is the work that is thrown away with some runs, weighed by how urgent it was and by how often the same work was
+// stopped before: otherwise a burst of urgent work would hit the same gang again and again.
 func (b *Board) cost(places []*placement, now Instant) float64 {
 	total := 0.0
 	for _, place := range places {
 		thrown := waste(place, now)
-		if b.priority(place.task.group.job.spec) == 0 {
-			thrown = priorityWaste * (thrown + 1)
+		switch b.priority(place.task.group.job.spec) {
+		case 0:
+			thrown = urgentWeight * (thrown + 1)
+		case 1:
+			thrown *= ordinaryWeight
 		}
-		total += thrown
+		total += thrown * float64(1+place.task.group.stops)
 	}
 	return total
 }
--- a/dispatch/sick.go
+++ b/dispatch/sick.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// stallLimit and stallShare of its estimate is how long a run may show no progress. Progress comes in hundredths, so
-	// long runs take longer to show any.
+	// stallLimit and stallShare of its estimate is how long a run may show no progress. Progress comes in hundredths,
+	// so long runs take longer to show any.
 	stallLimit = 2 * time.Second
 	stallShare = 0.05
-	// slowFactor times the expected run time is what a run on a sound executor doesn't take. Run times of a queue vary by
-	// less.
+	// slowFactor times the expected run time is what a run on a sound executor doesn't take. Run times of a queue
+	// vary by less.
 	slowFactor = 4
 	// slowAfter is how long a run is watched before its pace says anything.
 	slowAfter = time.Second
@@ -107,9 +107,9 @@
 	return nil
 }
 
-// trusted reports whether a site may take a task. A site whose last runs failed is probed with one fresh task at a time:
-// as it fails quickly, it would otherwise be free again at once and draw in everything that waits. A task that failed
-// before goes only where nothing fails, as long as there is such a site.
+// trusted reports whether a site may take a task. A site whose last runs failed is probed with one fresh task at a
+// time: as it fails quickly, it would otherwise be free again at once and draw in everything that waits. A task that
+// failed before goes only where nothing fails, as long as there is such a site.
 func (v *view) trusted(s *site, t *task, taken map[string]int) bool {
 	if v.sound == 0 || (s.agent != t.failedOn && !s.suspect()) {
 		return true
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -22,6 +22,9 @@
 	hopeless bool
 	// slack is the time until the unit has to start to meet its objective.
 	slack time.Duration
+	// leastSlack is the slack of a unit that is as short as it may be: the shorter a job is, the less time its
+	// objective leaves beside its run.
+	leastSlack time.Duration
 	// waited is the time since the job was seen.
 	waited time.Duration
 }
@@ -84,6 +87,7 @@
 		guaranteed: b.priority(spec) == 0 && needs[workspace] <= b.operations.Config.Guaranteed(workspace),
 		hopeless:   age > hopelessFactor*objective,
 		slack:      objective - age - b.estimates.of(g),
+		leastSlack: b.spare(g) - age,
 		waited:     now.Boot - g.job.seen,
 	}
 }
@@ -97,6 +101,15 @@
 	return time.Duration(max(stretch, 1)*float64(b.chain(j))) + slack
 }
 
+// spare is the time that the objective of a single step leaves beside its run if that is as short as it may be.
+func (b *Board) spare(g *group) time.Duration {
+	queue, ok := b.operations.Config.Queue(g.job.spec.GetQueue())
+	if !ok {
+		return 0
+	}
+	return time.Duration(max(queue.Stretch-1, 0)*float64(b.estimates.least(g))) + queue.Slack
+}
+
 // chain is the longest chain of expected run times through a job's steps.
 func (b *Board) chain(j *job) time.Duration {
 	ends := make([]time.Duration, len(j.spec.GetSteps()))
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -22,13 +22,14 @@
 	// refusedLimit is how long a store that does nothing is tried before the caller is told so.
 	refusedLimit = time.Second
 	tryPause     = 50 * time.Millisecond
-	// lookupWait is how long a job that isn't known is looked for: its record may have just been stored by another entry.
+	// lookupWait is how long a job that isn't known is looked for: its record may have just been stored by another
+	// entry.
 	lookupWait = 300 * time.Millisecond
 	lookupTick = 20 * time.Millisecond
 	// stateAge is how old the knowledge of jobs may be to deny one.
 	stateAge = 2500 * time.Millisecond
-	// readyAge is how old the knowledge of the operators' log may be for new connections to come here. Each poll waits a
-	// second, so knowledge is up to 2 s old before the next poll confirms it.
+	// readyAge is how old the knowledge of the operators' log may be for new connections to come here. Each poll
+	// waits a second, so knowledge is up to 2 s old before the next poll confirms it.
 	readyAge = 2600 * time.Millisecond
 	// lostAge is how old the knowledge of the cell's log is when the store is taken to be out of reach. The scheduler's
 	// heartbeats keep it far below.
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -1,5 +1,5 @@
-// Package gateway answers callers at an entry: it checks keys, stores jobs and cancellations, and tells states from what
-// it follows. It answers success only for what is stored, and "not run" only for what never will be.
+// Package gateway answers callers at an entry: it checks keys, stores jobs and cancellations, and tells states from
+// what it follows. It answers success only for what is stored, and "not run" only for what never will be.
 //
 // # Usage
 //
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -46,7 +46,8 @@
 type Config struct {
 	// Holder is unique to one run of the process.
 	Holder string
-	// Cores is this process's share of a core. Entries with less claim later, so that the largest becomes the scheduler.
+	// Cores is this process's share of a core. Entries with less claim later, so that the largest becomes the
+	// scheduler.
 	Cores float64
 	// Address is where this entry answers calls of the peer protocol.
 	Address string
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -1,6 +1,6 @@
-// Package scheduler runs a cell's scheduler. Every entry runs one; the one whose claim stands in the cell's log decides.
-// Each decision is stored under the scheduler's epoch before its orders leave, so a scheduler that was replaced can't
-// order anything new.
+// Package scheduler runs a cell's scheduler. Every entry runs one; the one whose claim stands in the cell's log
+// decides. Each decision is stored under the scheduler's epoch before its orders leave, so a scheduler that was
+// replaced can't order anything new.
 //
 // # Usage
 //
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -156,7 +156,8 @@
 	return nil
 }
 
-// take handles an agent's report. An earlier call of the same agent is answered at once, because the agent has moved on.
+// take handles an agent's report. An earlier call of the same agent is answered at once, because the agent has moved
+// on.
 func (t *term) take(w *waiter) {
 	now := instant(t.config)
 	agent := w.report.GetAgent()
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -1,7 +1,7 @@
-// Command soak runs the real programs of a cell as separate processes against the project's own stand-ins, injects faults
-// from outside them, and checks the promises from what callers and executors see. Faults come in series and overlap:
-// processes are killed, paused, stopped and started again, and the store refuses, is silent, loses answers, resets or
-// forgets its history for one process or for all.
+// Command soak runs the real programs of a cell as separate processes against the project's own stand-ins, injects
+// faults from outside them, and checks the promises from what callers and executors see. Faults come in series and
+// overlap: processes are killed, paused, stopped and started again, and the store refuses, is silent, loses answers,
+// resets or forgets its history for one process or for all.
 //
 // # Usage
 //
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,8 +23,8 @@
 	entries = 3
 	// maxLease is what executors shorten leases to.
 	maxLease = 6 * time.Second
-	// settleLimit is how long after the last fault every accepted job has to have ended. It covers the leases of an agent
-	// that is gone, which a new scheduler waits for.
+	// settleLimit is how long after the last fault every accepted job has to have ended. It covers the leases of an
+	// agent that is gone, which a new scheduler waits for.
 	settleLimit = 40 * time.Second
 	settleStep  = 200 * time.Millisecond
 	// warmUp is how long callers wait at the start.
@@ -101,10 +101,13 @@
 	for _, p := range append(s.entries, s.agents...) {
 		p.end(9)
 	}
-	if len(result.Broken) == 0 {
-		err = os.RemoveAll(directory)
+	if len(result.Broken) > 0 {
+		return result, nil
 	}
-	return result, err
+	if err = os.RemoveAll(directory); err != nil {
+		return result, fmt.Errorf("remove logs: %w", err)
+	}
+	return result, nil
 }
 
 // startAll starts the stand-ins and the processes. Every process has a loopback address of its own and all answer the
--- a/standin/executorserver/doc.go
+++ b/standin/executorserver/doc.go
@@ -1,6 +1,6 @@
-// Package executorserver is a model of the platform's executors: it runs tasks under leases on a clock of its own, keeps
-// fences, lists runs and ends, and sends heartbeats to its agent. It records every start and end, and says which promises
-// were broken.
+// Package executorserver is a model of the platform's executors: it runs tasks under leases on a clock of its own,
+// keeps fences, lists runs and ends, and sends heartbeats to its agent. It records every start and end, and says
+// which promises were broken.
 //
 // # Usage
 //
