--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,10 +32,12 @@
 func (g *Gateway) Cancel(ctx context.Context, call cell.Call) cell.Answer {
 	_, _, id, refused := g.admit(call)
 	if refused != nil {
+		g.log("cancel", lastSegment(call.Path), call, *refused)
 		return *refused
 	}
 	tracked, denied := g.find(ctx, id)
 	if denied != nil {
+		g.log("cancel", id, call, *denied)
 		return *denied
 	}
 	if tracked.State() == cellpb.State_STATE_CANCELLED {
@@ -90,7 +92,7 @@
 func (g *Gateway) Submit(ctx context.Context, call cell.Call, job *cellpb.Job) cell.Answer {
 	queue, workspace, id, refused := g.admit(call)
 	if refused != nil {
-		g.log("submit", id, call, *refused)
+		g.log("submit", lastSegment(call.Path), call, *refused)
 		return *refused
 	}
 	if id == "" || tasks(job) > maxTasks {
@@ -256,7 +258,13 @@
 		"outcome": answer.Outcome.String(),
 	}).Counter("answers").Inc(1)
 	g.config.Logger.Info(event, "job", id, "path", call.Path, "outcome", answer.Outcome.String(),
-		"config", g.config.Mirror.Operations().Config.Version, "age", age.Milliseconds())
+		"config", g.config.Mirror.Operations().Config.Version, "age", age.Milliseconds(),
+		"retry", answer.RetryAfter.Milliseconds())
+}
+
+// lastSegment is the id of a call whose queue isn't known.
+func lastSegment(path string) string {
+	return path[strings.LastIndex(path, "/")+1:]
 }
 
 func tasks(job *cellpb.Job) int64 {
