--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -35,25 +35,43 @@
 // fitsIn returns where and when the unit is expected to fit on some of the sites as runs end by themselves; nil if it
 // never does.
 func (b *Board) fitsIn(v *view, u *unit, sites []*site, now Instant) (assignment, time.Duration) {
-	var ends []forecast
+	ends := b.forecasts(v, now)
+	after := sort.Search(len(ends), func(count int) bool {
+		return b.pack(v, u, sites, b.roomAfter(v, ends[:count+1])) != nil
+	})
+	if after == len(ends) {
+		return nil, 0
+	}
+	return b.pack(v, u, sites, b.roomAfter(v, ends[:after+1])), ends[after].left
+}
+
+// forecasts returns when runs are expected to end, in that order.
+func (b *Board) forecasts(v *view, now Instant) []forecast {
+	if v.ends != nil {
+		return v.ends
+	}
 	b.eachPlacement(func(place *placement) {
 		if _, ok := v.byLife[place.life]; ok {
-			ends = append(ends, forecast{
+			v.ends = append(v.ends, forecast{
 				place: place,
 				left:  b.remaining(place, now),
 			})
 		}
 	})
-	slices.SortFunc(ends, func(x, y forecast) int {
-		return cmp.Or(cmp.Compare(x.left, y.left), cmp.Compare(x.place.task.id.String(), y.place.task.id.String()))
+	slices.SortFunc(v.ends, func(x, y forecast) int {
+		return cmp.Or(cmp.Compare(x.left, y.left), compareTasks(x.place.task, y.place.task))
 	})
-	after := sort.Search(len(ends), func(count int) bool {
-		return b.pack(v, u, sites, b.roomAfter(v, ends[:count+1])) != nil
-	})
-	if after == len(ends) {
-		return nil, 0
-	}
-	return b.pack(v, u, sites, b.roomAfter(v, ends[:after+1])), ends[after].left
+	return v.ends
+}
+
+// compareTasks is an order that doesn't change between passes.
+func compareTasks(x, y *task) int {
+	return cmp.Or(
+		cmp.Compare(x.id.Job, y.id.Job),
+		cmp.Compare(x.id.Occurrence, y.id.Occurrence),
+		cmp.Compare(x.id.Step, y.id.Step),
+		cmp.Compare(x.id.Index, y.id.Index),
+	)
 }
 
 // roomAfter returns the room of a site once some runs have ended.
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -129,7 +129,7 @@
 	slices.SortFunc(borrowed, func(x, y *placement) int {
 		return cmp.Or(
 			cmp.Compare(b.cost(victims(x), now), b.cost(victims(y), now)),
-			cmp.Compare(x.task.id.String(), y.task.id.String()),
+			compareTasks(x.task, y.task),
 		)
 	})
 	chosen := map[*placement]bool{}
@@ -150,7 +150,7 @@
 		}
 	}
 	return slices.SortedFunc(maps.Keys(chosen), func(x, y *placement) int {
-		return cmp.Compare(x.task.id.String(), y.task.id.String())
+		return compareTasks(x.task, y.task)
 	}), left.fits(need)
 }
 
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -156,10 +156,7 @@
 		-compareBool(x.hopeless, y.hopeless),
 		cmp.Compare(x.priority, y.priority),
 		cmp.Compare(x.slack, y.slack),
-		cmp.Compare(x.group.job.spec.GetId(), y.group.job.spec.GetId()),
-		cmp.Compare(x.group.occurrence, y.group.occurrence),
-		cmp.Compare(x.group.number, y.group.number),
-		cmp.Compare(x.tasks[0].id.Index, y.tasks[0].id.Index),
+		compareTasks(x.tasks[0], y.tasks[0]),
 	)
 }
 
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -30,6 +30,10 @@
 	// full are the groups of which a task didn't fit in this pass.
 	full        map[*group]bool
 	preemptions int
+	// racked are the usable sites of alike groups, by rack; ends are the expected ends of all runs. Both are the same
+	// throughout a pass.
+	racked map[rackKey][][]*site
+	ends   []forecast
 	// sound is how many usable sites give no reason for suspicion.
 	sound int
 }
@@ -39,6 +43,7 @@
 		byLife: map[string]*site{},
 		needs:  b.guaranteedNeeds(),
 		full:   map[*group]bool{},
+		racked: map[rackKey][][]*site{},
 	}
 	for _, e := range b.executors {
 		if e.state == nil || !e.confirmed {
@@ -92,19 +97,40 @@
 	return spec.GetService()
 }
 
-// suits reports whether an executor may ever run the step.
-func (b *Board) suits(e *executor, g *group) bool {
-	return e.state.GetService() == b.service(g.job.spec) &&
-		e.has(g.step.GetRequiredLabel()) &&
-		e.capacity().fits(roomOf(g.step))
+// suits reports whether an executor may ever run such a step.
+func (e *executor) suits(key rackKey) bool {
+	return e.state.GetService() == key.service && e.has(key.label) && e.capacity().fits(key.need)
+}
+
+// rackKey is what the sites that suit a group depend on.
+type rackKey struct {
+	service string
+	label   string
+	rack    string
+	need    room
 }
 
 // racks returns the usable sites that suit a group, by rack, the rack of its data first.
 func (b *Board) racks(v *view, g *group) [][]*site {
+	key := rackKey{
+		service: b.service(g.job.spec),
+		label:   g.step.GetRequiredLabel(),
+		rack:    g.step.GetDataRack(),
+		need:    roomOf(g.step),
+	}
+	racks, ok := v.racked[key]
+	if !ok {
+		racks = v.findRacks(key)
+		v.racked[key] = racks
+	}
+	return racks
+}
+
+func (v *view) findRacks(key rackKey) [][]*site {
 	byRack := map[string][]*site{}
 	var names []string
 	for _, s := range v.sites {
-		if !s.usable || !b.suits(s.executor, g) {
+		if !s.usable || !s.suits(key) {
 			continue
 		}
 		if _, ok := byRack[s.rack()]; !ok {
@@ -112,7 +138,7 @@
 		}
 		byRack[s.rack()] = append(byRack[s.rack()], s)
 	}
-	near := g.step.GetDataRack()
+	near := key.rack
 	slices.SortStableFunc(names, func(x, y string) int {
 		switch {
 		case x == near && y != near:
