--- a/dispatch/sick.go
+++ b/dispatch/sick.go
@@ -33,6 +33,10 @@
 			if place.task.group.step.GetPersistent() {
 				continue
 			}
+			if s.state.GetDraining() {
+				b.watchDrain(s, place, now)
+				continue
+			}
 			b.watchRun(s, place, now)
 		}
 		s.slow = now.Boot < s.slowUntil
@@ -68,6 +72,21 @@
 	s.slowUntil = now.Boot + slowMemory
 }
 
+// watchDrain stops a run that saves its work if its executor may be gone before the run ends: stopped, it goes on
+// elsewhere from where it is; ended with its executor, it loses what it did since it last saved. What saves nothing is
+// left to finish, since executors often stay for longer than they must.
+func (b *Board) watchDrain(s *site, place *placement, now Instant) {
+	g := place.task.group
+	left := time.Duration(s.state.GetRemainingMs())*time.Millisecond - (now.Boot - s.heard)
+	if !g.step.GetCheckpoints() || b.remaining(place, now) <= left {
+		return
+	}
+	b.config.Log("run leaves a draining executor", "task", place.task.id.String(), "run", place.run, "agent", s.agent,
+		"left", left.Milliseconds(), "remaining", b.remaining(place, now).Milliseconds())
+	b.stop(place)
+	b.breakGang(g)
+}
+
 // moveFromSlow stops runs on slow executors that would end sooner if they began again on a sound one with room. A run
 // moves once: what is slow everywhere is slow by itself.
 func (b *Board) moveFromSlow(v *view, now Instant) {
--- a/dispatch/sick_test.go
+++ b/dispatch/sick_test.go
@@ -105,3 +105,37 @@
 	r.store()
 	require.Equal(t, "agent-2", task.place.agent)
 }
+
+// Load: executors are emptied and taken away. A run that saves its work must leave in time, one that would end in time
+// or that would only lose by it must stay.
+func TestRunLeavesADrainingExecutor(t *testing.T) {
+	tests := []struct {
+		name        string
+		checkpoints bool
+		remainingMs int64
+		stops       int
+	}{
+		{name: "saves its work", checkpoints: true, remainingMs: 1000, stops: 1},
+		{name: "ends in time", checkpoints: true, remainingMs: 60000, stops: 0},
+		{name: "saves nothing", remainingMs: 1000, stops: 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t)
+			r.report("agent-1", "r1", nil)
+			job := oneTask("a000000000000001", "renders", "schools", 1)
+			job.Steps[0].EstimateMs = 9000
+			job.Steps[0].Checkpoints = test.checkpoints
+			r.submit(job)
+			r.store()
+			r.report("agent-1", "r1", running("a000000000000001.0.0.0"))
+			r.report("agent-1", "r1", func(report *cellpb.Report) {
+				running("a000000000000001.0.0.0")(report)
+				report.Executor.Draining = true
+				report.Executor.RemainingMs = test.remainingMs
+			})
+			r.store()
+			require.Len(t, r.board.Orders("agent-1", r.now).GetStops(), test.stops)
+		})
+	}
+}
