--- a/standin/storeserver/server.go
+++ b/standin/storeserver/server.go
@@ -33,6 +33,8 @@
 	FaultLost
 	// FaultReset closes the connection.
 	FaultReset
+	// FaultReadOnly answers appends with 503 and serves reads.
+	FaultReadOnly
 )
 
 // Server is the store.
@@ -98,6 +100,12 @@
 // ServeHTTP implements http.Handler.
 func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	fault, delay := d.misbehaviour()
+	if fault == FaultReadOnly {
+		fault = FaultNone
+		if r.Method == http.MethodPost {
+			fault = FaultBusy
+		}
+	}
 	if delay > 0 {
 		<-d.server.clock.After(delay)
 	}
