--- a/dispatch/sick_test.go
+++ b/dispatch/sick_test.go
@@ -112,12 +112,12 @@
 	tests := []struct {
 		name        string
 		checkpoints bool
-		remainingMs int64
+		leftMs      int64
 		stops       int
 	}{
-		{name: "saves its work", checkpoints: true, remainingMs: 1000, stops: 1},
-		{name: "ends in time", checkpoints: true, remainingMs: 60000, stops: 0},
-		{name: "saves nothing", remainingMs: 1000, stops: 0},
+		{name: "saves its work", checkpoints: true, leftMs: 1000, stops: 1},
+		{name: "ends in time", checkpoints: true, leftMs: 60000, stops: 0},
+		{name: "saves nothing", leftMs: 1000, stops: 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -132,7 +132,7 @@
 			r.report("agent-1", "r1", func(report *cellpb.Report) {
 				running("a000000000000001.0.0.0")(report)
 				report.Executor.Draining = true
-				report.Executor.RemainingMs = test.remainingMs
+				report.Executor.RemainingMs = test.leftMs
 			})
 			r.store()
 			require.Len(t, r.board.Orders("agent-1", r.now).GetStops(), test.stops)
