--- a/soak/soak.go
+++ b/soak/soak.go
@@ -89,7 +89,7 @@
 		record:    executorserver.NewRecord(),
 		directory: directory,
 	}
-	s.store.Write("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"quotes","host":"`+host+`","pathPrefix":"`+
+	s.store.Operate("config", []byte(`{"version":1,"routes":[{"name":"quotes","host":"`+host+`","pathPrefix":"`+
 		prefix+`","service":"desk","priority":1,"maxAttempts":2,"stretch":3,"targetLatencyMs":1000}],`+
 		`"services":[{"name":"desk","admissionCheck":true}],"tenants":[{"name":"t","apiKeys":["`+apiKey+`"]}]}`))
 	if err = s.startAll(ctx); err != nil {
--- a/standin/storeserver/server.go
+++ b/standin/storeserver/server.go
@@ -15,6 +15,9 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// operationsTopic is the log that the operators write.
+const operationsTopic = "keyed.op"
+
 // pageItems is how many records one page of the newest records holds.
 const pageItems = 500
 
@@ -70,7 +73,12 @@
 	s.partition(topic).forget()
 }
 
-// Write appends a record as the operators do.
+// Operate appends a record to the operators' log.
+func (s *Server) Operate(key string, value []byte) {
+	s.Write(operationsTopic, key, value)
+}
+
+// Write appends a record, past every door.
 func (s *Server) Write(topic, key string, value []byte) {
 	raw := []byte{byte(len(key))}
 	raw = append(append(raw, key...), value...)
