--- /dev/null
+++ b/dispatch/orders.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"slices"
+
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+// Orders returns the answer to an agent's report.
+func (b *Board) Orders(agent string, now Instant) *cellpb.Orders {
+	e, ok := b.executors[agent]
+	if !ok || e.state == nil || !e.confirmed {
+		return &cellpb.Orders{}
+	}
+	orders := &cellpb.Orders{
+		Executor: e.state.GetId(),
+		Born:     e.state.GetBorn(),
+		Recorded: e.recorded,
+		GrantMs:  e.state.GetClockMs() + b.config.Grant.Milliseconds(),
+	}
+	for _, stop := range e.strays {
+		orders.Stops = append(orders.Stops, stop)
+	}
+	for place := range b.placed[agent] {
+		if place.life != e.life {
+			continue
+		}
+		switch {
+		case place.stopping:
+			orders.Stops = append(orders.Stops, &cellpb.Stop{
+				Task: place.task.id.String(),
+				Run:  place.run,
+			})
+		case !place.running && place.batch <= b.committed:
+			place.sent = true
+			orders.Starts = append(orders.Starts, &cellpb.Start{
+				Task:       place.task.id.String(),
+				Run:        place.run,
+				Spec:       place.task.group.job.spec.GetSpec(),
+				Checkpoint: place.task.checkpoint,
+			})
+		}
+	}
+	return orders
+}
+
+// Version changes whenever there is something new to tell an agent.
+func (b *Board) Version(agent string) int64 {
+	if e, ok := b.executors[agent]; ok {
+		return e.version
+	}
+	return 0
+}
+
+// Agents returns the addresses of the agents that were heard lately.
+func (b *Board) Agents(now Instant) []string {
+	var addresses []string
+	for _, e := range b.executors {
+		if now.Boot-e.heard < b.config.Silence && e.address != "" {
+			addresses = append(addresses, e.address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
