--- a/cmd/cellentrycmd.go
+++ b/cmd/cellentrycmd.go
@@ -102,7 +102,6 @@
 		Dispatch: dispatch.Config{
 			Grant:     grant,
 			StopGrace: process.read.Stop,
-			GangLimit: process.read.Gang,
 			Retention: process.read.Keep,
 			FarFactor: float64(process.read.Far),
 		},
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -6,7 +6,6 @@
 const (
 	defaultSilence   = 1500 * time.Millisecond
 	defaultStopGrace = 200 * time.Millisecond
-	defaultGangLimit = 3 * time.Second
 	defaultRetention = 2 * time.Minute
 )
 
@@ -34,8 +33,6 @@
 	Silence time.Duration
 	// StopGrace is how long a stop takes at most.
 	StopGrace time.Duration
-	// GangLimit is how long the members of a gang wait for each other.
-	GangLimit time.Duration
 	// Retention is how long an ended job is kept.
 	Retention time.Duration
 	// FarFactor is how much longer a task takes away from its data, or a gang in several racks.
@@ -51,9 +48,6 @@
 	if c.StopGrace == 0 {
 		c.StopGrace = defaultStopGrace
 	}
-	if c.GangLimit == 0 {
-		c.GangLimit = defaultGangLimit
-	}
 	if c.Retention == 0 {
 		c.Retention = defaultRetention
 	}
--- a/dispatch/expire.go
+++ b/dispatch/expire.go
@@ -1,6 +1,5 @@
 package dispatch
 
-
 // Expire gives up what ran at executors that were silent for longer than their leases, and forgets old jobs.
 func (b *Board) Expire(now Instant) {
 	for agent := range b.placed {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -70,7 +70,6 @@
 	sent     bool
 	running  bool
 	stopping bool
-	ordered  time.Duration
 	started  time.Duration
 	percent  int32
 	// moved is when percent last changed.
@@ -283,7 +282,6 @@
 		agent:   record.GetAgent(),
 		life:    record.GetExecutor(),
 		sent:    true,
-		ordered: now.Boot,
 		started: now.Boot,
 		moved:   now.Boot,
 		saved:   now.Boot,
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -179,7 +179,6 @@
 			agent:   s.agent,
 			life:    s.life,
 			batch:   b.batch,
-			ordered: now.Boot,
 			started: now.Boot,
 			moved:   now.Boot,
 			saved:   now.Boot,
--- a/node/orders.go
+++ b/node/orders.go
@@ -63,7 +63,7 @@
 			n.reject(ctx, current, key, "draining")
 			return
 		}
-		n.mark(current, key, true)
+		n.tried(current, key)
 		limit, cancel := context.WithTimeout(ctx, orderLimit)
 		err := n.config.Executor.Start(limit, cell.TaskStart{
 			Executor:   current.executor.GetId(),
@@ -151,12 +151,10 @@
 	return false
 }
 
-func (n *Node) mark(current *life, key run, trying bool) {
+func (n *Node) tried(current *life, key run) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if trying {
-		current.tries[key]++
-	}
+	current.tries[key]++
 }
 
 func (n *Node) tries(current *life, key run) int {
