--- /dev/null
+++ b/settings/cell_test.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// What the platform renders from the templates must be accepted, with nothing left out.
+func TestParseCell(t *testing.T) {
+	entry, err := ParseCellEntry("entry.ini", []byte(`[cell]
+id = front-suva-1
+zone = suva
+listen = 10.1.0.19:7000
+admin = 10.1.0.19:7001
+caller = 10.1.0.19:8521
+ready = 10.1.0.19:8523
+store = 10.200.1.7:8524
+seeds = 10.1.0.19:8526,10.2.0.35:8526
+memory = 284
+cores = 0.4
+revoke = 5000ms
+grace = 6s
+stop = 200ms
+keep = 120s
+far = 3
+
+[log]
+format = json
+`))
+	require.NoError(t, err)
+	require.Equal(t, []string{"10.1.0.19:7000", "10.2.0.35:7000"}, entry.Entries, "seeds take the peers' port")
+	require.InDelta(t, 0.4, entry.Cores, 0.001)
+	require.Equal(t, 5*time.Second, entry.Revoke)
+	require.Equal(t, 3, entry.Far)
+
+	agent, err := ParseCellAgent("agent.ini", []byte(`[cell]
+id = side-suva-1
+zone = suva
+listen = 10.1.0.20:7000
+control = 10.1.0.20:8526
+executor = 10.1.0.20:8529
+store = 10.200.1.7:8524
+seeds =
+`))
+	require.NoError(t, err)
+	require.Empty(t, agent.Entries, "there may be no seeds")
+}
+
+// Faults are found before anything starts, all at once.
+func TestParseCellFindings(t *testing.T) {
+	text := "[cell]\nid = a b\nzone = z\ncores = many\nseeds = nowhere\nfast = yes\n"
+	_, err := ParseCellEntry("entry.ini", []byte(text))
+	require.Error(t, err)
+	for _, want := range []string{"a b", "many", "nowhere", "unknown key"} {
+		require.ErrorContains(t, err, want)
+	}
+}
