--- a/dispatch/board_test.go
+++ b/dispatch/board_test.go
@@ -171,3 +171,15 @@
 	r.store()
 	require.EqualValues(t, 2, r.board.Orders("agent-1", r.now).GetRecorded())
 }
+
+// A reply must not grow with the cell: with the addresses of all agents in each, 300 agents cost 1.7 MB a second.
+func TestRepliesNameFewAgents(t *testing.T) {
+	r := newRig(t)
+	for _, agent := range []string{"agent-1", "agent-2", "agent-3"} {
+		r.report(agent, "r1", func(report *cellpb.Report) { report.Address = agent + ":1" })
+	}
+	require.Len(t, r.board.Agents(2, r.now), 2)
+	require.Len(t, r.board.Agents(9, r.now), 3)
+	r.pass(defaultSilence)
+	require.Empty(t, r.board.Agents(9, r.now), "silent agents forward nothing")
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"slices"
-
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
@@ -52,14 +50,17 @@
 	return 0
 }
 
-// Agents returns the addresses of the agents that were heard lately.
-func (b *Board) Agents(now Instant) []string {
+// Agents returns the addresses of some agents that were heard lately, at most count of them. Which ones changes from
+// call to call, so that agents know some in every part of the cell.
+func (b *Board) Agents(count int, now Instant) []string {
 	var addresses []string
 	for _, e := range b.executors {
+		if len(addresses) == count {
+			break
+		}
 		if now.Boot-e.heard < b.config.Silence && e.address != "" {
 			addresses = append(addresses, e.address)
 		}
 	}
-	slices.Sort(addresses)
 	return addresses
 }
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -34,6 +34,8 @@
 	pollWait = time.Second
 	// maxReports is how many reports are taken before the next pass.
 	maxReports = 64
+	// maxRelays is how many other agents each reply names; an agent that reaches no entry reports through one of them.
+	maxRelays = 4
 	// firstAppendLimit and maxAppendLimit bound one append; the limit doubles with each silence, since a slow log must
 	// get the time to answer.
 	firstAppendLimit = 500 * time.Millisecond
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -201,7 +201,7 @@
 	orders := t.board.Orders(agent, now)
 	orders.Epoch = t.epoch
 	orders.Scheduler = t.config.Address
-	orders.Agents = t.board.Agents(now)
+	orders.Agents = t.board.Agents(maxRelays, now)
 	t.config.Mirror.View(func(state *cell.State) {
 		orders.Entries = state.Members()
 	})
