--- a/cell/config.go
+++ b/cell/config.go
@@ -68,11 +68,7 @@
 
 // Limits bound what callers send.
 type Limits struct {
-	BodyBytes   int64
-	HeaderBytes int
-	// HeaderTimeout is how long the headers of a call may take.
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Match returns the queue with the longest prefix of path on that host, and the rest of the path.
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -103,9 +103,6 @@
 	if chosen == nil || left >= u.leastSlack/2 || (u.guaranteed && u.waited+left >= reclaimPatience) {
 		return false
 	}
-	need := roomOf(u.group.step)
-	for _, s := range chosen {
-		s.free = s.free.minus(need)
-	}
+	chosen.reserve(roomOf(u.group.step))
 	return true
 }
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -60,10 +60,7 @@
 		failures = t.failures
 	}
 	b.breakGang(t.group)
-	limit := t.group.job.spec.GetMaxFailures()
-	if queue, ok := b.operations.Config.Queue(t.group.job.spec.GetQueue()); ok {
-		limit = int32(queue.MaxFailures)
-	}
+	limit := int32(b.queue(t.group.job.spec).MaxFailures)
 	if t.group.step.GetPersistent() || failures < limit || !t.group.job.active() {
 		return
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -11,6 +11,13 @@
 // assignment is the choice of a site for each task of a unit, in order.
 type assignment []*site
 
+// reserve keeps the room of a task on each site.
+func (a assignment) reserve(need room) {
+	for _, s := range a {
+		s.free = s.free.minus(need)
+	}
+}
+
 // maxPreemptions is how many urgent units that aren't guaranteed are considered for preemption in one pass.
 const maxPreemptions = 4
 
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -44,10 +44,7 @@
 	if best == nil || (!u.guaranteed && best.cost > preemptShare*b.work(u)) {
 		return
 	}
-	need := roomOf(u.group.step)
-	for _, s := range best.chosen {
-		s.free = s.free.minus(need)
-	}
+	best.chosen.reserve(roomOf(u.group.step))
 	for _, place := range best.stops {
 		b.config.Log("reclaim", "for", u.tasks[0].id.String(), "task", place.task.id.String(), "run", place.run,
 			"agent", place.agent, "waste", waste(place, now))
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
@@ -94,11 +95,8 @@
 
 // objective is the time in which a job should be done.
 func (b *Board) objective(j *job) time.Duration {
-	stretch, slack := j.spec.GetStretch(), time.Duration(j.spec.GetSlackMs())*time.Millisecond
-	if queue, ok := b.operations.Config.Queue(j.spec.GetQueue()); ok {
-		stretch, slack = queue.Stretch, queue.Slack
-	}
-	return time.Duration(max(stretch, 1)*float64(b.chain(j))) + slack
+	queue := b.queue(j.spec)
+	return time.Duration(max(queue.Stretch, 1)*float64(b.chain(j))) + queue.Slack
 }
 
 // spare is the time that the objective of a single step leaves beside its run if that is as short as it may be.
@@ -128,10 +126,22 @@
 }
 
 func (b *Board) priority(spec *cellpb.Job) int {
+	return b.queue(spec).Priority
+}
+
+// queue returns a job's queue as it is now, or as it was at the job's acceptance if it was removed.
+func (b *Board) queue(spec *cellpb.Job) cell.Queue {
 	if queue, ok := b.operations.Config.Queue(spec.GetQueue()); ok {
-		return queue.Priority
+		return queue
+	}
+	return cell.Queue{
+		Name:        spec.GetQueue(),
+		Service:     spec.GetService(),
+		Priority:    int(spec.GetPriority()),
+		MaxFailures: int(spec.GetMaxFailures()),
+		Stretch:     spec.GetStretch(),
+		Slack:       time.Duration(spec.GetSlackMs()) * time.Millisecond,
 	}
-	return int(spec.GetPriority())
 }
 
 // guaranteedNeeds returns, by workspace, the accelerators that all its unfinished work of priority 0 needs.
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -89,14 +89,6 @@
 		now.Boot >= e.holdOff
 }
 
-// service returns the service that runs a job's tasks.
-func (b *Board) service(spec *cellpb.Job) string {
-	if queue, ok := b.operations.Config.Queue(spec.GetQueue()); ok {
-		return queue.Service
-	}
-	return spec.GetService()
-}
-
 // suits reports whether an executor may ever run such a step.
 func (e *executor) suits(key rackKey) bool {
 	return e.state.GetService() == key.service && e.has(key.label) && e.capacity().fits(key.need)
@@ -113,7 +105,7 @@
 // racks returns the usable sites that suit a group, by rack, the rack of its data first.
 func (b *Board) racks(v *view, g *group) [][]*site {
 	key := rackKey{
-		service: b.service(g.job.spec),
+		service: b.queue(g.job.spec).Service,
 		label:   g.step.GetRequiredLabel(),
 		rack:    g.step.GetDataRack(),
 		need:    roomOf(g.step),
