cmd, caller: serve calls on open connections while an entry shuts down

Cause: an entry that was told to stop turned keep-alive off, which closes idle connections at once, also one on which a call is just being sent.

Change: idle connections stay open until the drain period is over; each response in that period carries "Connection: close". Both caller interfaces use the same handler.

Test: TestIdleConnectionServesCallDuringShutdown, failed before with "unexpected EOF".

--- a/caller/server.go
+++ b/caller/server.go
@@ -29,7 +29,7 @@
 	maxWait = 55 * time.Second
 	// baseCallTimeout bounds a call in addition to its wait: an append to the log may take 2 s and is retried.
 	baseCallTimeout = 5 * time.Second
-	// defaultDrainDelay is the time that a load balancer needs to notice that /readyz fails (design section 4).
+	// defaultDrainDelay is the time that a load balancer needs to notice that /readyz fails.
 	defaultDrainDelay = 2 * time.Second
 	// defaultMaxWaitingCalls and defaultMaxCalls bound the memory that calls use. A call over the first limit does not
 	// wait; a call over the second is rejected.
@@ -118,7 +118,7 @@
 // Serve serves the API until ctx ends, then shuts down without interrupting a request.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
-		Handler:           s.Handler(),
+		Handler:           CloseAfterResponse(s.readyCtx, s.Handler()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      readTimeout + maxWait + 2*baseCallTimeout,
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -187,7 +187,7 @@
 		return err
 	}
 	callers, callerServerDone, err := process.serveHTTP(runCtx, "callers", processSettings.CallerAddress,
-		e.callers())
+		caller.CloseAfterResponse(ctx, e.callers()))
 	if err != nil {
 		return err
 	}
@@ -237,14 +237,13 @@
 	return cancel, serverDone, nil
 }
 
-// drain resigns as scheduler and shuts down the caller server. It closes idle connections at once and all others after
-// their next response, so that callers reconnect to other entries, and accepts calls until drainFraction of the grace
-// period is over. Calls that are still pending at shutdownFraction are aborted when the process exits.
+// drain resigns as scheduler and shuts down the caller server. The server accepts calls until drainFraction of the grace
+// period is over, on open connections too, and then closes the idle ones. Calls that are still pending at
+// shutdownFraction are aborted when the process exits.
 func (e *entry) drain(c *Config, callerServer *http.Server) {
 	e.logger.Info("shutting down")
 	e.gateway.PrepareShutdown()
 	e.scheduler.PrepareShutdown()
-	callerServer.SetKeepAlivesEnabled(false)
 	<-c.Clock.After(time.Duration(drainFraction * float64(e.read.ShutdownGrace)))
 	ctx, cancel := context.WithTimeout(context.Background(),
 		time.Duration((shutdownFraction-drainFraction)*float64(e.read.ShutdownGrace)))
--- a/proof/shutdown_test.go
+++ b/proof/shutdown_test.go
@@ -1,6 +1,10 @@
 package proof
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"testing"
@@ -60,6 +64,35 @@
 	h.requireNoViolations()
 }
 
+// TestIdleConnectionServesCallDuringShutdown guards against an entry that shuts down and closes idle connections at once:
+// a call that is just being sent on one of them would end with a reset, and its caller would not know whether it ran.
+func TestIdleConnectionServesCallDuringShutdown(t *testing.T) {
+	const callDelay = 300 * time.Millisecond
+	h := newHarness(t, 1, cluster.DocumentConfig{})
+	dialer := &net.Dialer{}
+	connection, err := dialer.DialContext(t.Context(), "tcp", h.CallerAddresses[0])
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	require.NoError(t, connection.SetDeadline(h.clock.Now().Add(reactionTimeout)))
+	reader := bufio.NewReader(connection)
+	lookUpQueue := func() *http.Response {
+		_, err := fmt.Fprintf(connection, "GET %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\n\r\n",
+			cluster.Prefix, cluster.Host, cluster.APIKey)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = reader.Discard(int(response.ContentLength))
+		require.NoError(t, err)
+		return response
+	}
+	require.False(t, lookUpQueue().Close)
+	h.Entries[0].Signal(syscall.SIGTERM)
+	h.clock.Sleep(callDelay)
+	response := lookUpQueue()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.True(t, response.Close, "the caller must reconnect to another entry")
+}
+
 // TestDrainingExecutor guards against new tasks on a draining executor, and against work that is lost when it leaves.
 func TestDrainingExecutor(t *testing.T) {
 	h := newHarness(t, 3, cluster.DocumentConfig{})
