logsink: drop lines that are written after Close

Cause: an entry cancels its components and closes the sink without waiting for them; a component that logged at that moment wrote to a closed channel, and the process ended with a panic (3 of 4 runs of the README's first job when everything got SIGTERM at once).

Change: Write and Close are safe together; lines after Close are counted as dropped.

--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -15,6 +15,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/jonboulle/clockwork"
@@ -39,13 +40,16 @@
 	Burst int
 }
 
-// Sink is an io.Writer that expects one log line per call of Write. It is safe for concurrent use until it is closed.
+// Sink is an io.Writer that expects one log line per call of Write. It is safe for concurrent use.
 type Sink struct {
 	config  Config
 	lines   chan []byte
 	limiter *rate.Limiter
 	dropped atomic.Int64
-	done    chan struct{}
+	// mu guards closed, so that no line is queued after Close has begun.
+	mu     sync.RWMutex
+	closed bool
+	done   chan struct{}
 }
 
 // New returns a Sink and starts its writer goroutine, which Close stops.
@@ -66,9 +70,13 @@
 	return s
 }
 
-// Close writes the buffered lines and stops the sink. Write must not be called afterwards.
+// Close writes the buffered lines and stops the sink. Lines written later are dropped: components that are still ending
+// may log after the process has closed its sink.
 func (s *Sink) Close() {
+	s.mu.Lock()
+	s.closed = true
 	close(s.lines)
+	s.mu.Unlock()
 	<-s.done
 }
 
@@ -83,14 +91,27 @@
 		s.dropped.Add(1)
 		return len(line), nil
 	}
-	select {
-	case s.lines <- bytes.Clone(line):
-	default:
+	if !s.enqueue(bytes.Clone(line)) {
 		s.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// enqueue queues a line; false if the sink is closed or the buffer is full.
+func (s *Sink) enqueue(line []byte) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.closed {
+		return false
+	}
+	select {
+	case s.lines <- line:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *Sink) writeLines() {
 	defer close(s.done)
 	for line := range s.lines {
--- a/logsink/sink_test.go
+++ b/logsink/sink_test.go
@@ -98,3 +98,35 @@
 	require.Equal(t, 5, strings.Count(output.written.String(), "late\n"))
 	require.Contains(t, output.written.String(), "log lines dropped")
 }
+
+// Guards against a panic in a process that shuts down: a component that is still ending logs after the sink was closed.
+func TestWriteDuringAndAfterClose(t *testing.T) {
+	output := &blockingWriter{
+		entered:   make(chan struct{}),
+		unblocked: make(chan struct{}),
+	}
+	close(output.unblocked)
+	sink := New(Config{
+		Output: output,
+		Clock:  clockwork.NewRealClock(),
+	})
+	_, err := sink.Write([]byte("before\n"))
+	require.NoError(t, err)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 100 {
+				_, _ = sink.Write([]byte("during\n"))
+			}
+		})
+	}
+	sink.Close()
+	writers.Wait()
+	droppedBefore := sink.Dropped()
+	written, err := sink.Write([]byte("after\n"))
+	require.NoError(t, err)
+	require.Equal(t, len("after\n"), written)
+	require.Equal(t, droppedBefore+1, sink.Dropped())
+	require.Contains(t, output.written.String(), "before\n")
+	require.NotContains(t, output.written.String(), "after\n")
+}
