dispatch: log why each run is stopped and how much work that loses

Cause: only preemptions told what they threw away.

Change: every stop has a reason; "stopping run", "run lost" and "run ended" carry the core-seconds lost since the last checkpoint.

Test: TestStopIsLoggedWithReasonAndLoss, failed before (no such line).

--- a/dispatch/expire.go
+++ b/dispatch/expire.go
@@ -24,11 +24,11 @@
 	for _, run := range p.runsAt(agent) {
 		switch {
 		case !run.sent:
-			p.markLost(run, "order never left")
+			p.markLost(run, "order never left", now)
 		case unconfirmed && now.BootTime-p.tookOverAt > p.config.PredecessorValidity+p.config.leaseTimeout():
-			p.markLost(run, "executor never heard")
+			p.markLost(run, "executor never heard", now)
 		case !unconfirmed && now.BootTime-e.reportedAt > p.config.leaseTimeout():
-			p.markLost(run, "lease lapsed")
+			p.markLost(run, "lease lapsed", now)
 		}
 	}
 }
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -19,15 +19,19 @@
 	if end.GetCheckpoint() != "" {
 		t.checkpoint = end.GetCheckpoint()
 	}
+	lost := 0.0
+	if end.GetKind() != cellpb.EndKind_END_KIND_DONE {
+		lost = lostWork(run, now)
+	}
 	p.config.Log("run ended", "task", end.GetTask(), "run", end.GetRun(), "agent", e.agent,
-		"kind", end.GetKind().String(), "ran", (now.BootTime - run.startedAt).Milliseconds())
+		"kind", end.GetKind().String(), "ran", (now.BootTime - run.startedAt).Milliseconds(), "lost", lost)
 	switch end.GetKind() {
 	case cellpb.EndKind_END_KIND_DONE:
 		p.recordSuccess(e, run, now)
 	case cellpb.EndKind_END_KIND_FAILED:
 		p.recordFailure(e, run, now)
 	default:
-		p.stopGang(t.group)
+		p.stopGang(t.group, reasonMemberEnded, now)
 	}
 }
 
@@ -59,7 +63,7 @@
 		t.failures++
 		failures = t.failures
 	}
-	p.stopGang(t.group)
+	p.stopGang(t.group, reasonMemberFailed, now)
 	limit := int32(p.queue(t.group.job.spec).MaxFailures)
 	if t.group.step.GetPersistent() || failures < limit || !t.group.job.active() {
 		return
@@ -87,30 +91,46 @@
 	}
 }
 
+// stopReason is why a run is stopped, as written to the log.
+type stopReason string
+
+const (
+	reasonPreempted      stopReason = "preempted"
+	reasonStalled        stopReason = "stalled"
+	reasonDraining       stopReason = "executor draining"
+	reasonSlow           stopReason = "executor slow"
+	reasonCancelled      stopReason = "job cancelled"
+	reasonJobEnded       stopReason = "job ended"
+	reasonMemberEnded    stopReason = "gang member ended"
+	reasonMemberFailed   stopReason = "gang member failed"
+	reasonMemberLost     stopReason = "gang member lost"
+	reasonMemberRejected stopReason = "gang member rejected"
+)
+
 // stopGang stops the remaining members of a gang after one of its runs has ended or is being stopped.
-func (p *Planner) stopGang(g *group) {
+func (p *Planner) stopGang(g *group, reason stopReason, now Instant) {
 	if !g.step.GetGang() || g.done() {
 		return
 	}
 	for _, t := range g.tasks {
-		p.stopRun(t.run)
+		p.stopRun(t.run, reason, now)
 	}
 }
 
 // stopRun stops a run. An order that was not sent yet is withdrawn.
-func (p *Planner) stopRun(run *taskRun) {
-	if run == nil {
+func (p *Planner) stopRun(run *taskRun, reason stopReason, now Instant) {
+	if run == nil || run.stopping {
 		return
 	}
+	p.config.Log("stopping run", "task", run.task.id.String(), "run", run.runNumber, "agent", run.agent,
+		"reason", string(reason), "sent", run.sent, "lost", lostWork(run, now))
 	if !run.sent {
 		p.removeRun(run)
 		run.task.group.job.dirty = true
 		return
 	}
-	if !run.stopping {
-		run.stopping = true
-		p.notifyAgent(run.agent)
-	}
+	run.stopping = true
+	p.notifyAgent(run.agent)
 }
 
 func (p *Planner) endIfDone(j *job, now Instant) {
@@ -132,22 +152,27 @@
 	j.endedMs = now.WallMs
 	j.dirty = true
 	p.config.Log("job ended", "job", j.spec.GetId(), "state", state.String(), "queue", j.spec.GetQueue())
-	p.stopUnfinishedRuns(j)
+	p.stopUnfinishedRuns(j, now)
 }
 
 // stopUnfinishedRuns stops the remaining runs of an ended job. Members of a gang that is done end on their own.
-func (p *Planner) stopUnfinishedRuns(j *job) {
+func (p *Planner) stopUnfinishedRuns(j *job, now Instant) {
+	reason := reasonJobEnded
+	if j.cancelled {
+		reason = reasonCancelled
+	}
 	for _, run := range j.activeRuns() {
 		if !run.task.done {
-			p.stopRun(run)
+			p.stopRun(run, reason, now)
 		}
 	}
 }
 
 // markLost gives up a run that certainly no longer exists.
-func (p *Planner) markLost(run *taskRun, reason string) {
-	p.config.Log("run lost", "task", run.task.id.String(), "run", run.runNumber, "agent", run.agent, "reason", reason)
+func (p *Planner) markLost(run *taskRun, reason string, now Instant) {
+	p.config.Log("run lost", "task", run.task.id.String(), "run", run.runNumber, "agent", run.agent, "reason", reason,
+		"lost", lostWork(run, now))
 	p.removeRun(run)
 	run.task.group.job.dirty = true
-	p.stopGang(run.task.group)
+	p.stopGang(run.task.group, reasonMemberLost, now)
 }
--- /dev/null
+++ b/dispatch/outcome_test.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishpath.example/radishpath/cell"
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+// Guards against work that is thrown away without a log line that tells why and how much.
+func TestStopIsLoggedWithReasonAndLoss(t *testing.T) {
+	const gang = "a000000000000001"
+	for _, test := range []struct {
+		name       string
+		stop       func(h *plannerHarness)
+		wantReason stopReason
+	}{
+		{
+			name: "member fails",
+			stop: func(h *plannerHarness) {
+				h.report("agent-1", "r1", func(report *cellpb.Report) {
+					report.Ended = []*cellpb.EndedTask{
+						{Number: 1, Task: gang + ".0.0.0", Run: 1, Kind: cellpb.EndKind_END_KIND_FAILED},
+					}
+				})
+			},
+			wantReason: reasonMemberFailed,
+		},
+		{
+			name: "executor restarts",
+			stop: func(h *plannerHarness) {
+				h.report("agent-1", "r1", func(report *cellpb.Report) { report.Executor.Born = 2 })
+			},
+			wantReason: reasonMemberLost,
+		},
+		{
+			name: "job is cancelled",
+			stop: func(h *plannerHarness) {
+				h.planner.SetJob(cell.JobState{
+					Job:       h.planner.jobs[gang].spec,
+					Cancelled: true,
+				}, h.now)
+			},
+			wantReason: reasonCancelled,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			stops := map[string][]any{}
+			h.planner.config.Log = func(event string, fields ...any) {
+				if event == "stopping run" {
+					stops[fields[1].(string)] = fields
+				}
+			}
+			h.report("agent-1", "r1", nil)
+			h.report("agent-2", "r1", nil)
+			h.submit(twoMemberGangJob(gang, "renders", "schools", 8))
+			h.planAndCommit()
+			for _, agent := range []string{"agent-1", "agent-2"} {
+				h.report(agent, "r1", func(report *cellpb.Report) {
+					for run := range h.planner.runsByAgent[agent] {
+						report.Running = []*cellpb.RunningTask{{Task: run.task.id.String(), Run: 1, Percent: 1}}
+					}
+				})
+			}
+			h.advance(2 * time.Second)
+			test.stop(h)
+			const coreSeconds = 2 * (1 + 8*coresPerAccelerator)
+			require.Contains(t, stops, gang+".0.0.1")
+			fields := stops[gang+".0.0.1"]
+			require.Subset(t, fields, []any{"reason", string(test.wantReason), "lost", float64(coreSeconds)})
+		})
+	}
+}
--- a/dispatch/planner.go
+++ b/dispatch/planner.go
@@ -87,7 +87,7 @@
 			p.addRun(run)
 		}
 		if !j.active() {
-			p.stopUnfinishedRuns(j)
+			p.stopUnfinishedRuns(j, now)
 		}
 	}
 	if jobState.Cancelled && !j.cancelled {
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -54,7 +54,7 @@
 		p.config.Log("preempting run", "for", u.tasks[0].id.String(), "task", run.task.id.String(), "run", run.runNumber,
 			"agent", run.agent, "waste", lostWork(run, now))
 		run.task.group.preemptions++
-		p.stopRun(run)
+		p.stopRun(run, reasonPreempted, now)
 	}
 }
 
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -26,13 +26,13 @@
 	}
 	e.reportedAt = now.BootTime
 	e.epochConfirmed = true
-	p.updateExecutor(e, report)
+	p.updateExecutor(e, report, now)
 	p.processEnds(e, report, now)
 	p.processRejections(e, report, now)
 	p.processRunning(e, report, now)
 	if e.state.GetGone() {
 		for _, run := range p.runsAt(e.agent) {
-			p.markLost(run, "executor ended")
+			p.markLost(run, "executor ended", now)
 		}
 	}
 	return true
@@ -40,7 +40,7 @@
 
 // updateExecutor updates the executor's own state. Runs of an earlier incarnation are lost unless the current one
 // reports them.
-func (p *Planner) updateExecutor(e *executor, report *cellpb.Report) {
+func (p *Planner) updateExecutor(e *executor, report *cellpb.Report, now Instant) {
 	incarnation := incarnationOf(report.GetExecutor())
 	isNew := incarnation != e.incarnation
 	if isNew || e.state.GetDraining() != report.GetExecutor().GetDraining() {
@@ -74,7 +74,7 @@
 			run.incarnation = incarnation
 			run.task.group.job.dirty = true
 		default:
-			p.markLost(run, "executor started anew")
+			p.markLost(run, "executor started anew", now)
 		}
 	}
 }
@@ -125,7 +125,7 @@
 		p.removeRun(t.run)
 		t.group.job.dirty = true
 		t.group.retryAt = now.BootTime + startRetryDelay
-		p.stopGang(t.group)
+		p.stopGang(t.group, reasonMemberRejected, now)
 	}
 }
 
--- a/dispatch/runhealth.go
+++ b/dispatch/runhealth.go
@@ -55,8 +55,8 @@
 			"percent", run.percent, "still", (now.BootTime - run.progressedAt).Milliseconds())
 		c.health.startQuarantine(now.BootTime)
 		run.task.lastFailedAgent = c.agent
-		p.stopRun(run)
-		p.stopGang(g)
+		p.stopRun(run, reasonStalled, now)
+		p.stopGang(g, reasonStalled, now)
 		return
 	}
 	progressed := run.percent - run.basePercent
@@ -104,8 +104,8 @@
 	}
 	p.config.Log("stopping run on draining executor", "task", run.task.id.String(), "run", run.runNumber,
 		"agent", c.agent, "left", timeLeft.Milliseconds(), "remaining", p.remaining(run, now).Milliseconds())
-	p.stopRun(run)
-	p.stopGang(g)
+	p.stopRun(run, reasonDraining, now)
+	p.stopGang(g, reasonDraining, now)
 }
 
 // migrateFromSlow stops runs on slow executors that would end sooner if they restarted on a healthy one with free
@@ -128,7 +128,7 @@
 				chosen.free = chosen.free.minus(requestedResources(t.group.step))
 				t.migrated = true
 				t.lastFailedAgent = c.agent
-				p.stopRun(run)
+				p.stopRun(run, reasonSlow, now)
 			}
 		}
 	}
