dispatch: measure the progress of runs on the executor's clock

Cause: a run counted as stalled when the scheduler had seen no new percentage for 2 s and 5% of its estimate. After an agent had been silent for some seconds, its first report may still hold the lists read before the silence: the run was stopped, its work lost, and its healthy executor quarantined. A late report also made a run look slow, which migrates runs.

Change: stall and pace are measured between readings of the executor's own clock, which come with the lists. Old lists show neither progress nor a stall.

Test: TestReportAfterSilenceDoesNotStallRuns; before, the run got a stop order. It also checks that a run without progress in 5 s of the executor's clock is stopped.

--- a/dispatch/executor.go
+++ b/dispatch/executor.go
@@ -105,6 +105,11 @@
 	}
 }
 
+// clock is the reading of the executor's monotonic clock when the reported lists were read.
+func (e *executor) clock() time.Duration {
+	return time.Duration(e.state.GetSteadyMs()) * time.Millisecond
+}
+
 func (e *executor) hasLabel(label string) bool {
 	return label == "" || slices.Contains(e.state.GetLabels(), label)
 }
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -30,7 +30,7 @@
 		}
 		return expected - elapsed
 	}
-	total := (run.progressedAt - run.startedAt) * time.Duration(100-run.basePercent) / time.Duration(progressed)
+	total := (run.progressedClock - run.startedClock) * time.Duration(100-run.basePercent) / time.Duration(progressed)
 	return max(total-elapsed, 0)
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -76,8 +76,10 @@
 	stopping  bool
 	startedAt time.Duration
 	percent   int32
-	// progressedAt is when percent last changed.
-	progressedAt time.Duration
+	// startedClock and progressedClock are the readings of the executor's clock at which the run was first listed and at
+	// which percent last changed. Progress is measured on that clock, because a report may be late or hold old lists.
+	startedClock    time.Duration
+	progressedClock time.Duration
 	// basePercent is the progress from which the run resumed.
 	basePercent int32
 	// checkpointedAt is when the run last wrote a checkpoint.
@@ -287,7 +289,6 @@
 		incarnation:    record.GetExecutor(),
 		sent:           true,
 		startedAt:      now.BootTime,
-		progressedAt:   now.BootTime,
 		checkpointedAt: now.BootTime,
 	}
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -226,7 +226,6 @@
 			incarnation:    c.incarnation,
 			batch:          p.batch,
 			startedAt:      now.BootTime,
-			progressedAt:   now.BootTime,
 			checkpointedAt: now.BootTime,
 		})
 		p.config.Log("run ordered", "task", t.id.String(), "run", t.runNumber, "agent", c.agent, "executor", c.incarnation,
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -145,7 +145,7 @@
 			p.addOrphan(e, running)
 			continue
 		}
-		t.run.observe(running, now)
+		t.run.observe(running, e.clock(), now)
 		if running.GetCheckpoint() != "" {
 			t.checkpoint = running.GetCheckpoint()
 		}
@@ -181,19 +181,21 @@
 	}
 }
 
-func (r *taskRun) observe(running *cellpb.RunningTask, now Instant) {
+// observe applies what an executor listed about a run when its clock showed clock.
+func (r *taskRun) observe(running *cellpb.RunningTask, clock time.Duration, now Instant) {
 	r.sent = true
 	if !r.running {
 		r.running = true
 		r.startedAt = now.BootTime
-		r.progressedAt = now.BootTime
+		r.startedClock = clock
+		r.progressedClock = clock
 		r.checkpointedAt = now.BootTime
 		r.percent = running.GetPercent()
 		r.basePercent = running.GetPercent()
 	}
 	if running.GetPercent() != r.percent {
 		r.percent = running.GetPercent()
-		r.progressedAt = now.BootTime
+		r.progressedClock = clock
 	}
 	if running.GetCheckpoint() != "" && running.GetCheckpoint() != r.task.checkpoint {
 		r.checkpointedAt = now.BootTime
--- a/dispatch/runhealth.go
+++ b/dispatch/runhealth.go
@@ -49,10 +49,10 @@
 	g := run.task.group
 	expected := p.estimates.forGroup(g)
 	stallTimeout := baseStallTimeout + time.Duration(stallTimeoutShare*float64(expected))
-	if !waitsForGang(run) && now.BootTime-run.progressedAt > stallTimeout &&
+	if stalled := c.clock() - run.progressedClock; !waitsForGang(run) && stalled > stallTimeout &&
 		now.BootTime-c.reportedAt < p.config.ReportTimeout {
 		p.config.Log("run stalled", "task", run.task.id.String(), "run", run.runNumber, "agent", c.agent,
-			"percent", run.percent, "still", (now.BootTime - run.progressedAt).Milliseconds())
+			"percent", run.percent, "still", stalled.Milliseconds())
 		c.health.startQuarantine(now.BootTime)
 		run.task.lastFailedAgent = c.agent
 		p.stopRun(run, reasonStalled, now)
@@ -60,7 +60,7 @@
 		return
 	}
 	progressed := run.percent - run.basePercent
-	elapsed := run.progressedAt - run.startedAt
+	elapsed := run.progressedClock - run.startedClock
 	if elapsed < minPaceSampleTime || progressed <= 0 || !p.estimates.isMeasured(g) {
 		return
 	}
--- a/dispatch/runhealth_test.go
+++ b/dispatch/runhealth_test.go
@@ -74,6 +74,33 @@
 	require.False(t, h.planner.executors["agent-1"].health.schedulable(h.now.BootTime))
 }
 
+// Guards against stopping the work of an executor whose agent was silent: after 5 s without a report, the first one may
+// still hold the lists that were read before the silence. That shows neither progress nor a stall.
+func TestReportAfterSilenceDoesNotStallRuns(t *testing.T) {
+	h := newHarness(t)
+	h.report("agent-1", "r1", nil)
+	h.submit(singleTaskJob("a000000000000001", "renders", "schools", 1))
+	h.planAndCommit()
+	running := func(report *cellpb.Report) {
+		report.Running = []*cellpb.RunningTask{{Task: "a000000000000001.0.0.0", Run: 1, Percent: 40}}
+	}
+	h.report("agent-1", "r1", running)
+	readAt := (h.now.BootTime - h.startedAt).Milliseconds()
+	h.advance(5 * time.Second)
+	orders := h.report("agent-1", "r1", func(report *cellpb.Report) {
+		running(report)
+		report.Executor.SteadyMs = readAt
+	})
+	require.Empty(t, orders.GetStops())
+	h.planAndCommit()
+	require.Empty(t, h.planner.Orders("agent-1", h.now).GetStops(), "the lists are 5 s old")
+
+	h.advance(replanInterval)
+	h.report("agent-1", "r1", running)
+	h.planAndCommit()
+	require.Len(t, h.planner.Orders("agent-1", h.now).GetStops(), 1, "no progress in 5 s of the executor's own clock")
+}
+
 // A run on a slow executor must migrate to a healthy one once and not return. In an incident, runs moved back and forth
 // between two slow executors and lost 1,900 core-seconds of work.
 func TestRunMigratesFromSlowExecutorOnce(t *testing.T) {
