gateway: a key opens the jobs of its own workspace only

Any key read and cancelled every job, and a submission with an id of another workspace was answered as accepted although nothing was stored. The wait of JobService.Lookup also showed by its time that a job of another workspace exists.

A submission whose id another workspace uses is rejected as not storable: executors know tasks by the id, so it can't be used twice. Anonymous queues need no key and stay as they are.

Tests: TestCallsWithKeyOfAnotherWorkspace (lookup and cancel were answered with OK, submit as accepted), TestAnonymousQueueNeedsNoKey.

--- a/gateway/capacity_test.go
+++ b/gateway/capacity_test.go
@@ -50,7 +50,8 @@
 				APIKey:  "k",
 				Timeout: 500 * time.Millisecond,
 			}, &cellpb.Job{
-				Steps: []*cellpb.Step{test.step},
+				Occurrences: 1,
+				Steps:       []*cellpb.Step{test.step},
 			})
 			require.Equal(t, test.want, response.Outcome)
 			if test.want != cell.OutcomeOK {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,12 +31,12 @@
 
 // Cancel requests the cancellation of a job.
 func (g *Gateway) Cancel(ctx context.Context, call cell.Call) cell.Response {
-	_, _, id, rejection := g.authorize(call)
+	queue, workspace, id, rejection := g.authorize(call)
 	if rejection != nil {
 		g.recordResponse("cancel", lastPathSegment(call.Path), call, *rejection)
 		return *rejection
 	}
-	jobState, lookupRejection := g.findJob(ctx, id)
+	jobState, lookupRejection := g.findJob(ctx, id, visibleTo(queue, workspace))
 	if lookupRejection != nil {
 		g.recordResponse("cancel", id, call, *lookupRejection)
 		return *lookupRejection
@@ -51,14 +51,14 @@
 
 // Lookup returns the state of a job, or the number of pending jobs in a queue if the path has no job id.
 func (g *Gateway) Lookup(ctx context.Context, call cell.Call) cell.Response {
-	queue, _, id, rejection := g.authorize(call)
+	queue, workspace, id, rejection := g.authorize(call)
 	if rejection != nil {
 		return *rejection
 	}
 	if id == "" {
 		return g.queueLength(queue)
 	}
-	jobState, lookupRejection := g.findJob(ctx, id)
+	jobState, lookupRejection := g.findJob(ctx, id, visibleTo(queue, workspace))
 	if lookupRejection != nil {
 		return *lookupRejection
 	}
@@ -93,7 +93,11 @@
 	if taskCount(job) > maxTasksPerJob {
 		return invalidResponse(fmt.Sprintf("more than %d tasks", maxTasksPerJob))
 	}
-	if _, ok := g.config.Mirror.Job(id); ok {
+	if existing, ok := g.config.Mirror.Job(id); ok {
+		if !visibleTo(queue, workspace)(existing.Job) {
+			// The id can't be used twice, because executors know tasks by it. The reply doesn't tell whose job it is.
+			return invalidResponse(reasonNotStorable)
+		}
 		return cell.Response{}
 	}
 	claim, _ := g.config.Mirror.Claim()
@@ -118,7 +122,7 @@
 	entry, err := cell.JobEntry(job)
 	if err != nil {
 		g.config.Logger.Error("failed to encode job", "job", id, "error", err)
-		return invalidResponse("the job can't be stored")
+		return invalidResponse(reasonNotStorable)
 	}
 	response := g.appendUntilStored(ctx, call, entry, func() bool {
 		_, ok := g.config.Mirror.Job(id)
@@ -182,13 +186,26 @@
 	return queue, workspace, strings.ToLower(idSuffix), nil
 }
 
+// reasonNotStorable is the reason for rejecting a job that can't be stored under its id.
+const reasonNotStorable = "the job can't be stored"
+
+// visibleTo returns which jobs a call may see and change: those of the workspace of its key and those of no workspace.
+// In an anonymous queue, which needs no key, every call may see every job.
+func visibleTo(queue cell.Queue, workspace string) func(job *cellpb.Job) bool {
+	return func(job *cellpb.Job) bool {
+		return queue.Anonymous || job.GetWorkspace() == workspace || job.GetWorkspace() == ""
+	}
+}
+
 // findJob returns a job, after waiting up to lookupTimeout for it to appear in the mirror. Otherwise it returns the
-// response to the caller.
-func (g *Gateway) findJob(ctx context.Context, id string) (cell.JobState, *cell.Response) {
+// response to the caller. A job that isn't visible is treated as one that doesn't exist, in the time of the reply too.
+func (g *Gateway) findJob(
+	ctx context.Context, id string, visible func(job *cellpb.Job) bool,
+) (cell.JobState, *cell.Response) {
 	deadline := g.config.BootTime.Now() + lookupTimeout
 	for {
 		jobState, ok := g.config.Mirror.Job(id)
-		if ok {
+		if ok && visible(jobState.Job) {
 			return jobState, nil
 		}
 		if g.config.BootTime.Now() >= deadline || ctx.Err() != nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -83,10 +83,24 @@
 		APIKey:  key,
 		Timeout: 500 * time.Millisecond,
 	}, &cellpb.Job{
-		Steps: []*cellpb.Step{{Count: 1}},
+		Occurrences: 1,
+		Steps:       []*cellpb.Step{{Count: 1}},
 	})
 }
 
+// storeJob puts a job of a workspace into the mirror.
+func (f *gatewayFixture) storeJob(t *testing.T, workspace string) {
+	t.Helper()
+	entry, err := cell.JobEntry(&cellpb.Job{
+		Id:          testJobID,
+		Workspace:   workspace,
+		Occurrences: 1,
+		Steps:       []*cellpb.Step{{Count: 1}},
+	})
+	require.NoError(t, err)
+	f.mirror.ApplyCell([]cell.Entry{entry}, false)
+}
+
 // Guards against the outcome "not run" for a job that may run: after an append with an unknown outcome, no rejection of
 // a later attempt proves that the job isn't stored.
 func TestSubmitKeepsUnknownOutcomeAfterLaterRejection(t *testing.T) {
@@ -148,8 +162,67 @@
 // Guards against storing a job again when it is submitted a second time under the same id.
 func TestSubmitOfKnownJobStoresNothing(t *testing.T) {
 	f := newGatewayFixture(t)
-	entry, err := cell.JobEntry(&cellpb.Job{Id: testJobID})
-	require.NoError(t, err)
-	f.mirror.ApplyCell([]cell.Entry{entry}, false)
+	f.storeJob(t, "w")
 	require.Equal(t, cell.OutcomeOK, f.submit(t, "k").Outcome)
 }
+
+// Guards against a key of one workspace that opens the jobs of another: its calls must get the replies for an id that
+// names no job, and change nothing.
+func TestCallsWithKeyOfAnotherWorkspace(t *testing.T) {
+	call := cell.Call{
+		Host:    "h",
+		Path:    "/q/" + testJobID,
+		APIKey:  "k",
+		Timeout: 500 * time.Millisecond,
+	}
+	tests := []struct {
+		name string
+		call func(f *gatewayFixture) cell.Response
+		want cell.Outcome
+	}{
+		{
+			name: "lookup",
+			call: func(f *gatewayFixture) cell.Response { return f.gateway.Lookup(t.Context(), call) },
+			want: cell.OutcomeNoJob,
+		},
+		{
+			name: "cancel",
+			call: func(f *gatewayFixture) cell.Response { return f.gateway.Cancel(t.Context(), call) },
+			want: cell.OutcomeNoJob,
+		},
+		{
+			name: "submit",
+			call: func(f *gatewayFixture) cell.Response { return f.submit(t, "k") },
+			want: cell.OutcomeInvalid,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newGatewayFixture(t)
+			f.storeJob(t, "other")
+			response := test.call(f)
+			require.Equal(t, test.want, response.Outcome)
+			require.NotContains(t, response.Reason, "other")
+			jobState, ok := f.mirror.Job(testJobID)
+			require.True(t, ok)
+			require.False(t, jobState.Cancelled)
+		})
+		t.Run(test.name+" with the stale log", func(t *testing.T) {
+			f := newGatewayFixture(t)
+			f.age = maxStateAge + 100*time.Millisecond
+			f.appendErrs = []error{nil}
+			absent := test.call(f)
+			f.storeJob(t, "other")
+			if test.want == cell.OutcomeNoJob {
+				require.Equal(t, absent, test.call(f), "as for an id without a job")
+			}
+		})
+	}
+}
+
+// Guards against callers of an anonymous queue who can't see their jobs, whatever key they send.
+func TestAnonymousQueueNeedsNoKey(t *testing.T) {
+	require.True(t, visibleTo(cell.Queue{Anonymous: true}, "")(&cellpb.Job{Workspace: "w"}))
+	require.True(t, visibleTo(cell.Queue{}, "w")(&cellpb.Job{}), "jobs of no workspace were submitted without a key")
+	require.False(t, visibleTo(cell.Queue{}, "")(&cellpb.Job{Workspace: "w"}))
+}
--- a/gateway/jobs.go
+++ b/gateway/jobs.go
@@ -52,10 +52,7 @@
 		Path:    id,
 		Timeout: callTimeout,
 	}
-	jobState, rejection := j.gateway.findJob(ctx, id)
-	if rejection == nil && jobState.Job.GetWorkspace() != workspace {
-		rejection = &cell.Response{Outcome: cell.OutcomeNoJob}
-	}
+	jobState, rejection := j.gateway.findJob(ctx, id, visibleTo(cell.Queue{}, workspace))
 	if rejection != nil {
 		return caller.Status{}, outcomeError(*rejection)
 	}
@@ -68,8 +65,8 @@
 }
 
 // Lookup returns the status of a job once the job has ended, or after wait.
-func (j *JobService) Lookup(ctx context.Context, _, id string, wait time.Duration) (caller.Status, error) {
-	jobState, rejection := j.gateway.findJob(ctx, id)
+func (j *JobService) Lookup(ctx context.Context, workspace, id string, wait time.Duration) (caller.Status, error) {
+	jobState, rejection := j.gateway.findJob(ctx, id, visibleTo(cell.Queue{}, workspace))
 	if rejection != nil {
 		return caller.Status{}, outcomeError(*rejection)
 	}
--- a/gateway/jobs_test.go
+++ b/gateway/jobs_test.go
@@ -9,7 +9,6 @@
 
 	"radishpath.example/radishpath/caller"
 	"radishpath.example/radishpath/cell"
-	"radishpath.example/radishpath/cell/cellpb"
 )
 
 func newCallerJob() *caller.Job {
@@ -73,11 +72,9 @@
 	require.True(t, job.GetSteps()[0].GetSameRack())
 
 	f := newGatewayFixture(t)
-	entry, err := cell.JobEntry(&cellpb.Job{Id: testJobID, Workspace: "other"})
-	require.NoError(t, err)
-	f.mirror.ApplyCell([]cell.Entry{entry}, false)
+	f.storeJob(t, "other")
 	jobs := NewJobService(f.gateway)
-	_, err = jobs.Cancel(t.Context(), "w", testJobID)
+	_, err := jobs.Cancel(t.Context(), "w", testJobID)
 	require.ErrorIs(t, err, caller.ErrNotFound)
 	status, err := jobs.Submit(t.Context(), newCallerJob(), 0)
 	require.NoError(t, err)
