cell: reject jobs and skip records that would stop every scheduler

Cause: the number of tasks was computed in 64 bits without a bound, so steps of 2^31 tasks with 2^31 occurrences overflowed to a negative number and were accepted; the scheduler would then allocate them, end for want of memory, and so would each of its successors. Negative amounts freed resources that nobody had released. A record of the log with a dependency out of range panicked in the planner. One unreadable record made publish, diff and show fail.

Change: ValidateJob bounds every number of a job; both caller interfaces and the reader of the log use it. Commands skip a record that entries skip as well, unless it is that of an entry, which a publish must confirm.

--- a/cell/state.go
+++ b/cell/state.go
@@ -124,6 +124,9 @@
 		s.members[id] = body.Member.GetAddress()
 		return "", nil
 	case *cellpb.Record_Job:
+		if err := ValidateJob(body.Job); err != nil {
+			return "", fmt.Errorf("record %s at offset %d: %w", entry.Key, entry.Offset, err)
+		}
 		if jobState := s.getOrCreateJob(id); jobState.Job == nil {
 			jobState.Job = body.Job
 		}
@@ -205,6 +208,11 @@
 	return jobState
 }
 
+// IsMemberKey reports whether a key is that of an entry process.
+func IsMemberKey(key string) bool {
+	return strings.HasPrefix(key, memberPrefix)
+}
+
 // IsSchedulerKey reports whether a key is written only by the scheduler.
 func IsSchedulerKey(key string) bool {
 	return key == claimKey || strings.HasPrefix(key, progressPrefix)
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -27,7 +27,12 @@
 // The reported state of a job must depend only on the log, in whatever order the records of the job arrive.
 func TestJobState(t *testing.T) {
 	const id = "00000000000000aa"
-	job := requireEntry(t)(JobEntry(&cellpb.Job{Id: id, Queue: "q"}))
+	job := requireEntry(t)(JobEntry(&cellpb.Job{
+		Id:          id,
+		Queue:       "q",
+		Occurrences: 1,
+		Steps:       []*cellpb.Step{{Count: 1}},
+	}))
 	cancel := requireEntry(t)(CancelEntry(id))
 	begun := requireEntry(t)(ProgressEntry(&cellpb.Progress{Id: id, State: cellpb.State_STATE_RUNNING, Begun: true}))
 	done := requireEntry(t)(ProgressEntry(&cellpb.Progress{Id: id, State: cellpb.State_STATE_DONE, Begun: true}))
--- /dev/null
+++ b/cell/validate.go
@@ -0,0 +1,68 @@
+package cell
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+const (
+	// maxTasksPerJob bounds memory: every entry keeps the state of each task.
+	maxTasksPerJob = 10000
+	// maxAmount bounds each resource request and each time in milliseconds, so that sums of them can't overflow.
+	maxAmount = math.MaxInt64 / (4 * maxTasksPerJob)
+)
+
+// ValidateJob returns why a job can't be scheduled, or nil. It applies to jobs of callers and to records of the log that
+// another version of the program may have written.
+func ValidateJob(job *cellpb.Job) error {
+	if len(job.GetSteps()) == 0 {
+		return errors.New("job has no steps")
+	}
+	if job.GetOccurrences() < 1 {
+		return fmt.Errorf("%d occurrences", job.GetOccurrences())
+	}
+	if !inRange(job.GetStartMs()) || !inRange(job.GetIntervalMs()) {
+		return errors.New("start time or interval out of range")
+	}
+	tasks := int64(0)
+	for i, step := range job.GetSteps() {
+		if err := validateStep(step, i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		tasks += int64(step.GetCount())
+		if tasks > maxTasksPerJob || tasks*int64(job.GetOccurrences()) > maxTasksPerJob {
+			return fmt.Errorf("more than %d tasks", maxTasksPerJob)
+		}
+	}
+	return nil
+}
+
+func validateStep(step *cellpb.Step, index int) error {
+	if step.GetCount() < 1 {
+		return fmt.Errorf("count %d is below 1", step.GetCount())
+	}
+	for _, amount := range []int64{step.GetCpu(), step.GetMemoryMb(), step.GetAccelerators()} {
+		if !inRange(amount) {
+			return fmt.Errorf("resource request %d out of range", amount)
+		}
+	}
+	if !inRange(step.GetEstimateMs()) || !inRange(step.GetTargetMs()) {
+		return errors.New("estimate or target out of range")
+	}
+	if step.GetSpread() < 0 || step.GetMayMiss() < 0 {
+		return errors.New("negative limit")
+	}
+	for _, dependency := range step.GetDependsOn() {
+		if dependency < 0 || int(dependency) >= index {
+			return fmt.Errorf("depends on step %d, which is not an earlier step", dependency)
+		}
+	}
+	return nil
+}
+
+func inRange(amount int64) bool {
+	return amount >= 0 && amount <= maxAmount
+}
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -75,15 +75,18 @@
 		store.Append(cellTopic, entry.Key, entry.Value)
 	}
 	job, err := cell.JobEntry(&cellpb.Job{
-		Id:        "00000000000000aa",
-		Queue:     "quotes",
-		Workspace: "weddings",
-		Steps:     []*cellpb.Step{{Count: 2, Accelerators: 8}},
+		Id:          "00000000000000aa",
+		Queue:       "quotes",
+		Workspace:   "weddings",
+		Steps:       []*cellpb.Step{{Count: 2, Accelerators: 8}},
+		Occurrences: 1,
 	})
 	if err != nil {
 		return "", fmt.Errorf("job: %w", err)
 	}
 	store.Append(cellTopic, job.Key, job.Value)
+	// A record that can't be decoded must not keep the commands from working.
+	store.Append(cellTopic, "job/00000000000000bb", []byte("not a record"))
 	server := httptest.NewServer(&faultyStore{handler: store.Endpoint()})
 	env.Defer(server.Close)
 	return strings.TrimPrefix(server.URL, "http://"), nil
--- a/cmd/storeconn.go
+++ b/cmd/storeconn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os/user"
 
@@ -18,6 +17,7 @@
 
 // storeConn provides operator commands with access to the store and the entries.
 type storeConn struct {
+	logger    hclog.Logger
 	publisher *operator.Publisher
 	rollout   *operator.RolloutWaiter
 	cell      *platform.Topic
@@ -40,15 +40,19 @@
 	store := platform.NewStore(platform.StoreConfig{
 		Address: c.store,
 	})
+	logger := hclog.New(&hclog.LoggerOptions{
+		Output: c.Stderr,
+	})
 	conn := &storeConn{
-		cell: store.Topic(cellTopic),
+		logger: logger,
+		cell:   store.Topic(cellTopic),
 		pool: peer.NewPool(peer.PoolConfig{
 			Clock: c.Clock,
 			TLS:   loadedTLS.client,
 		}),
 	}
 	conn.publisher = operator.NewPublisher(operator.PublisherConfig{
-		Logger:      hclog.New(&hclog.LoggerOptions{Output: c.Stderr}),
+		Logger:      logger,
 		Clock:       c.Clock,
 		Author:      currentUsername(),
 		Operations:  newKeyedLog(store.Operations()),
@@ -82,12 +86,15 @@
 	}
 	cellState := cell.NewState()
 	for _, entry := range page.Entries {
-		if _, applyErr := cellState.Apply(entry); applyErr != nil {
-			err = errors.Join(err, applyErr)
+		_, err := cellState.Apply(entry)
+		if err != nil && cell.IsMemberKey(entry.Key) {
+			// Without this record, a publish could be reported as in effect at all entries although it isn't.
+			return nil, fmt.Errorf("read cell state: %w", err)
+		}
+		if err != nil {
+			// Entries skip such a record as well.
+			s.logger.Warn("skipping invalid record in cell log", "key", entry.Key, "offset", entry.Offset, "error", err)
 		}
-	}
-	if err != nil {
-		return nil, fmt.Errorf("read cell state: %w", err)
 	}
 	return cellState, nil
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -125,7 +125,7 @@
 
 func (j *job) group(occurrence, step int32) *group {
 	index := int(occurrence)*len(j.spec.GetSteps()) + int(step)
-	if step < 0 || int(step) >= len(j.spec.GetSteps()) || index < 0 || index >= len(j.groups) {
+	if occurrence < 0 || step < 0 || int(step) >= len(j.spec.GetSteps()) || index >= len(j.groups) {
 		return nil
 	}
 	return j.groups[index]
@@ -133,7 +133,7 @@
 
 func (j *job) task(id cell.TaskID) *task {
 	g := j.group(id.Occurrence, id.Step)
-	if g == nil || int(id.Index) >= len(g.tasks) {
+	if g == nil || id.Index < 0 || int(id.Index) >= len(g.tasks) {
 		return nil
 	}
 	return g.tasks[id.Index]
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -41,8 +41,6 @@
 	defaultRetryAfter = time.Second
 	// unschedulableRetryAfter is the Retry-After of a job that fits no executor: larger executors may register.
 	unschedulableRetryAfter = 5 * time.Second
-	// maxTasksPerJob bounds memory: every entry keeps the state of each task.
-	maxTasksPerJob = 10000
 )
 
 // Config configures a Gateway.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"regexp"
 	"strings"
 	"sync/atomic"
@@ -90,8 +89,8 @@
 func (g *Gateway) acceptJob(
 	ctx context.Context, call cell.Call, queue cell.Queue, workspace, id string, job *cellpb.Job,
 ) cell.Response {
-	if taskCount(job) > maxTasksPerJob {
-		return invalidResponse(fmt.Sprintf("more than %d tasks", maxTasksPerJob))
+	if err := cell.ValidateJob(job); err != nil {
+		return invalidResponse(err.Error())
 	}
 	if existing, ok := g.config.Mirror.Job(id); ok {
 		if !visibleTo(queue, workspace)(existing.Job) {
@@ -323,14 +322,6 @@
 	return path[strings.LastIndex(path, "/")+1:]
 }
 
-func taskCount(job *cellpb.Job) int64 {
-	total := int64(0)
-	for _, step := range job.GetSteps() {
-		total += int64(step.GetCount())
-	}
-	return total * int64(job.GetOccurrences())
-}
-
 func unavailableResponse() *cell.Response {
 	return &cell.Response{
 		Outcome:    cell.OutcomeUnavailable,
