recovery: confine a panic to the call or term in which it occurs

Cause: a panic in a handler of the peer protocol, in the scheduler's cycle or in one of its background calls ended the entry's process; one in an HTTP handler was logged at debug level only and not counted. The same input then reaches the next scheduler, so one fault could take down entry after entry.

Change: package recovery logs, counts (radishpath_panics) and turns the panic into an error. A panicking term ends; leadership is claimed again.

--- a/caller/server.go
+++ b/caller/server.go
@@ -15,6 +15,9 @@
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"radishpath.example/radishpath/recovery"
 )
 
 const (
@@ -42,6 +45,8 @@
 type ServerConfig struct {
 	Logger hclog.Logger
 	Clock  clockwork.Clock
+	// Metrics counts panics of handlers; nil discards the counts.
+	Metrics tally.Scope
 	// Submit accepts a job and waits up to wait for its end. An error that is a Findings or wraps ErrLimitExceeded or
 	// ErrNotAccepted means that the job is not run; after any other the outcome is unknown. When ctx ends with the
 	// cause ErrShuttingDown, Submit returns the current state.
@@ -80,6 +85,9 @@
 	if config.Logger == nil {
 		config.Logger = hclog.NewNullLogger()
 	}
+	if config.Metrics == nil {
+		config.Metrics = tally.NoopScope
+	}
 	if config.DrainDelay == 0 {
 		config.DrainDelay = defaultDrainDelay
 	}
@@ -117,8 +125,9 @@
 
 // Serve serves the API until ctx ends, then shuts down without interrupting a request.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	handler := recovery.Handler(s.config.Logger, s.config.Metrics, "jobs", s.Handler())
 	server := &http.Server{
-		Handler:           CloseAfterResponse(s.readyCtx, s.Handler()),
+		Handler:           CloseAfterResponse(s.readyCtx, handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      readTimeout + maxWait + 2*baseCallTimeout,
--- a/cell/validate.go
+++ b/cell/validate.go
@@ -15,8 +15,8 @@
 	maxAmount = math.MaxInt64 / (4 * maxTasksPerJob)
 )
 
-// ValidateJob returns why a job can't be scheduled, or nil. It applies to jobs of callers and to records of the log that
-// another version of the program may have written.
+// ValidateJob returns why a job can't be scheduled, or nil. It applies to jobs of callers and to records of the log, as
+// another version of the program may have written them.
 func ValidateJob(job *cellpb.Job) error {
 	if len(job.GetSteps()) == 0 {
 		return errors.New("job has no steps")
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -225,6 +225,7 @@
 	server := caller.NewServer(caller.ServerConfig{
 		Logger:       e.logger,
 		Clock:        c.Clock,
+		Metrics:      e.metrics.Scope,
 		Submit:       jobService.Submit,
 		Lookup:       jobService.Lookup,
 		Cancel:       jobService.Cancel,
--- a/cmd/process.go
+++ b/cmd/process.go
@@ -20,6 +20,7 @@
 	"radishpath.example/radishpath/logsink"
 	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer"
+	"radishpath.example/radishpath/recovery"
 	"radishpath.example/radishpath/settings"
 )
 
@@ -148,7 +149,12 @@
 			if err := read(request); err != nil {
 				return nil, err
 			}
-			return handle(ctx, request), nil
+			reply := &cellpb.Reply{}
+			err := recovery.Run(p.logger, p.metrics.Scope, "peers", func() error {
+				reply = handle(ctx, request)
+				return nil
+			})
+			return reply, err
 		},
 	})
 	serverDone := make(chan error, 1)
@@ -165,7 +171,7 @@
 		return nil, nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           recovery.Handler(p.logger, p.metrics.Scope, name, handler),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          p.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
--- a/peer/server.go
+++ b/peer/server.go
@@ -89,7 +89,7 @@
 	defer func() { _ = stream.Close() }()
 	reply, err := s.config.Handler(ctx, func(request proto.Message) error { return readMessage(stream, request) })
 	if err != nil {
-		s.config.Logger.Warn("failed to read request", "error", err)
+		s.config.Logger.Warn("failed to handle request", "error", err)
 		return
 	}
 	if err = writeMessage(stream, reply); err != nil {
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"radishpath.example/radishpath/dispatch"
+	"radishpath.example/radishpath/recovery"
 )
 
 // adviceResult is the response of the advice service to one request.
@@ -26,7 +27,20 @@
 	adviceRequest := t.pendingAdviceRequests[0]
 	t.pendingAdviceRequests = t.pendingAdviceRequests[1:]
 	t.adviceInFlight = true
-	go func() { t.adviceResult <- t.fetchAdvice(ctx, adviceRequest) }()
+	go func() {
+		result := adviceResult{
+			adviceRequest: adviceRequest,
+			advice: dispatch.Advice{
+				Failed: true,
+			},
+		}
+		// The result of a request that panicked is that of one that failed.
+		_ = recovery.Run(t.config.Logger, t.config.Metrics, "advice", func() error {
+			result = t.fetchAdvice(ctx, adviceRequest)
+			return nil
+		})
+		t.adviceResult <- result
+	}()
 }
 
 func (t *term) fetchAdvice(ctx context.Context, adviceRequest dispatch.AdviceRequest) adviceResult {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 	"radishpath.example/radishpath/dispatch"
+	"radishpath.example/radishpath/recovery"
 )
 
 // epochsPerOffset is the size of the range from which a claim at one log offset draws a random epoch, so that
@@ -162,7 +163,8 @@
 	s.term = t
 	s.mu.Unlock()
 	s.config.Logger.Info("scheduling begins", "epoch", epoch)
-	reason := t.run(ctx)
+	// After a panic the entry goes on serving callers, and another one, or this one again, claims the leadership.
+	reason := recovery.Run(s.config.Logger, s.config.Metrics, "scheduler", func() error { return t.run(ctx) })
 	s.mu.Lock()
 	s.term = nil
 	s.mu.Unlock()
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -33,6 +33,8 @@
 	topic    *platform.Topic
 	// appends counts the attempted appends.
 	appends atomic.Int64
+	// panicOnce makes the next reading of the clock by the leader panic.
+	panicOnce atomic.Bool
 }
 
 // startLeader returns a store with a configuration, and a first member once it is the leader.
@@ -78,12 +80,19 @@
 	startFollower(client.Operations(), cellMirror.ApplyOperations)
 	cellFollower := startFollower(m.topic, cellMirror.ApplyCell)
 	m.Scheduler = New(Config{
-		Holder:        name,
-		Cores:         1,
-		Address:       name + ":1",
-		Logger:        hclog.NewNullLogger(),
-		Clock:         clock,
-		BootTime:      boot,
+		Holder:  name,
+		Cores:   1,
+		Address: name + ":1",
+		Logger:  hclog.NewNullLogger(),
+		Clock:   clock,
+		BootTime: boottime.Clock{
+			Now: func() time.Duration {
+				if m.Leading() > 0 && m.panicOnce.CompareAndSwap(true, false) {
+					panic("unexpected")
+				}
+				return boot.Now()
+			},
+		},
 		Metrics:       tally.NoopScope,
 		Mirror:        cellMirror,
 		Age:           cellFollower.Age,
@@ -223,3 +232,12 @@
 	clock.Sleep(time.Second)
 	require.Equal(t, claimsBefore, m.appends.Load())
 }
+
+// Guards against an unexpected error of the scheduler that ends the entry's process: it must only end the term, and the
+// cell must be scheduled again.
+func TestPanicEndsOnlyTheTerm(t *testing.T) {
+	_, first := startLeader(t)
+	epoch := first.Leading()
+	first.panicOnce.Store(true)
+	require.Eventually(t, func() bool { return first.Leading() > epoch }, waitTimeout, 10*time.Millisecond)
+}
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -11,6 +11,7 @@
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 	"radishpath.example/radishpath/dispatch"
+	"radishpath.example/radishpath/recovery"
 )
 
 // appendFunc appends entries to the cell's log within a timeout.
@@ -253,7 +254,12 @@
 		batch:    batch.Number,
 		resigned: t.resigning,
 	}
-	go t.appendWithRetry(ctx, entries, fence, result)
+	go func() {
+		result.err = recovery.Run(t.config.Logger, t.config.Metrics, "append", func() error {
+			return t.appendWithRetry(ctx, entries, fence, &result)
+		})
+		t.appendResults <- result
+	}()
 }
 
 // entries returns the log entries of a batch. It adds a claim if the batch is empty, as a heartbeat, or if the
@@ -288,8 +294,11 @@
 	return append(entries, claim)
 }
 
-// appendWithRetry retries an append under the same sequence number until it succeeds or can't succeed any more.
-func (t *term) appendWithRetry(ctx context.Context, entries []cell.Entry, fence *cell.Fence, result appendResult) {
+// appendWithRetry retries an append under the same sequence number until it succeeds or can't succeed any more. It sets
+// sentAt of the result to when the last attempt was sent.
+func (t *term) appendWithRetry(
+	ctx context.Context, entries []cell.Entry, fence *cell.Fence, result *appendResult,
+) error {
 	timeout, backoff := initialAppendTimeout, initialAppendBackoff
 	for failures := 0; ; failures++ {
 		result.sentAt = t.config.BootTime.Now()
@@ -301,12 +310,9 @@
 				t.config.Logger.Info("append to the log succeeded after retries",
 					"sequence", fence.Sequence, "failures", failures)
 			}
-			t.appendResults <- result
-			return
+			return nil
 		case errors.Is(err, cell.ErrFenced), errors.As(err, &sequenceErr), ctx.Err() != nil:
-			result.err = err
-			t.appendResults <- result
-			return
+			return err
 		case failures == 0:
 			t.config.Logger.Warn("append to the log failed; retrying", "sequence", fence.Sequence, "error", err)
 		}
