agent, dispatch: give up the runs of a crashed executor whose agent lives

Cause: leases were counted from the agent's last report. The agent of an executor that had crashed went on reporting the lists of the last response, so its runs were never given up and it still got new work, until it came back, or until a takeover counted it as never heard.

Change: leases are counted from the executor's last response, of which the report carries the reading of its clock. Agents report an executor that leaves their requests unanswered; it gets no new work.

Tests: TestCrashedExecutorWithLiveAgentLosesRuns (failed on both counts before), TestReportTellsSilenceOfExecutor.

--- a/agent/controller.go
+++ b/agent/controller.go
@@ -128,6 +128,7 @@
 			failures++
 			if failures == 1 && ctx.Err() == nil {
 				c.config.Logger.Warn("hold request to executor failed; retrying", "executor", hold.Executor, "error", err)
+				c.setSilent(current, true)
 			}
 			c.sleep(ctx, c.holdSignal, orderRetryDelay)
 			continue
@@ -137,6 +138,7 @@
 				"executor", hold.Executor, "failures", failures)
 		}
 		failures = 0
+		c.setSilent(current, false)
 		c.applyInventory(current, hold, inventory, requestedAt)
 	}
 }
@@ -188,6 +190,16 @@
 	}
 }
 
+// setSilent records whether the executor leaves holds unanswered, and reports a change to the scheduler soon.
+func (c *Controller) setSilent(current *incarnation, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if current.silent != silent {
+		current.silent = silent
+		notify(c.reportSignal)
+	}
+}
+
 // switchIncarnation switches to a new incarnation of the executor. Starts for the old incarnation whose outcome isn't
 // known may reach the new one, so they are stopped there before the new incarnation is reported to the scheduler.
 func (c *Controller) switchIncarnation(ctx context.Context) {
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -34,7 +34,9 @@
 type incarnation struct {
 	executor *cellpb.Executor
 	// replaced is set once the executor is known to have restarted.
-	replaced  bool
+	replaced bool
+	// silent is set while the executor leaves holds unanswered.
+	silent    bool
 	inventory cell.Inventory
 	// epoch is the fence of the hold that returned the inventory, readAt the time of its response.
 	epoch  int64
@@ -144,6 +146,7 @@
 	report.Epoch = i.epoch
 	report.Executor = proto.CloneOf(i.executor)
 	report.Executor.SteadyMs = i.inventory.Clock.Milliseconds()
+	report.Executor.Silent = i.silent
 	report.Running = i.runningTasks()
 	report.Rejected = append(report.Rejected, i.rejected...)
 	for _, ended := range i.inventory.Ended {
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -115,3 +116,40 @@
 	_, _, ok = c.nextHold()
 	require.True(t, ok, "the heartbeat describes the new incarnation")
 }
+
+// Guards against a crashed executor that the scheduler takes for healthy, because its agent goes on reporting.
+func TestReportTellsSilenceOfExecutor(t *testing.T) {
+	holdErr := errors.New("no response")
+	ctx, cancel := context.WithCancel(t.Context())
+	clock := clockwork.NewRealClock()
+	var c *Controller
+	c = New(Config{
+		ID:       "agent-1",
+		Logger:   hclog.NewNullLogger(),
+		Clock:    clock,
+		BootTime: boottime.NewClock(),
+		Executor: ExecutorClient{
+			Hold: func(context.Context, cell.Hold) (cell.Inventory, error) {
+				report, _ := c.report(false)
+				switch {
+				case holdErr != nil && report.GetExecutor().GetSilent():
+					holdErr = nil
+				case holdErr == nil && !report.GetExecutor().GetSilent():
+					cancel()
+				}
+				return cell.Inventory{Born: 1, Clock: time.Second}, holdErr
+			},
+		},
+	})
+	c.HandleHeartbeat(cell.Heartbeat{Executor: &cellpb.Executor{Id: "i-1", Born: 1}, Sequence: 1})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.holdLoop(ctx)
+	}()
+	select {
+	case <-done:
+	case <-clock.After(20 * time.Second):
+		require.Fail(t, "the reports don't tell when the executor is silent and when it answers again")
+	}
+}
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -76,7 +76,7 @@
 	return c
 }
 
-// leaseTimeout is the time after an executor's last report by which all of its runs have certainly ended.
+// leaseTimeout is the time after a report of an executor's last response by which all of its runs have certainly ended.
 func (c Config) leaseTimeout() time.Duration {
 	return c.LeaseDuration + time.Duration(maxClockDrift*float64(c.LeaseDuration)) + c.StopGrace + leaseExpiryMargin
 }
--- a/dispatch/executor.go
+++ b/dispatch/executor.go
@@ -63,6 +63,9 @@
 	// reportedAt is when the agent last reported with this scheduler's epoch; epochConfirmed is set once it has.
 	reportedAt     time.Duration
 	epochConfirmed bool
+	// answeredAt is when a report first showed the executor's newest response to its agent. Leases end that long after it,
+	// because no grant goes beyond the clock reading in that response.
+	answeredAt time.Duration
 	// unstoredEnds holds the processed ends that are not stored in the log yet.
 	unstoredEnds []processedEnd
 	// lastEnd is the highest processed end number of this incarnation, lastStoredEnd the highest stored one.
--- a/dispatch/expire.go
+++ b/dispatch/expire.go
@@ -18,7 +18,7 @@
 func (p *Planner) expireRunsAt(agent string, now Instant) {
 	e := p.executors[agent]
 	unconfirmed := e == nil || !e.epochConfirmed
-	if !unconfirmed && now.BootTime-e.reportedAt <= p.config.ReportTimeout {
+	if !unconfirmed && now.BootTime-e.answeredAt <= p.config.ReportTimeout {
 		return
 	}
 	for _, run := range p.runsAt(agent) {
@@ -27,7 +27,7 @@
 			p.markLost(run, "order never left", now)
 		case unconfirmed && now.BootTime-p.tookOverAt > p.config.PredecessorValidity+p.config.leaseTimeout():
 			p.markLost(run, "executor never heard", now)
-		case !unconfirmed && now.BootTime-e.reportedAt > p.config.leaseTimeout():
+		case !unconfirmed && now.BootTime-e.answeredAt > p.config.leaseTimeout():
 			p.markLost(run, "lease lapsed", now)
 		}
 	}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -136,6 +136,39 @@
 	require.EqualValues(t, 2, h.planner.findTask(id+".0.0.0").runNumber, "run numbers increase")
 }
 
+// Guards against runs that are never given up because the agent of a crashed executor goes on reporting: its reports
+// repeat the lists of the last response. Such an executor must get no new work, and its runs end with their leases.
+func TestCrashedExecutorWithLiveAgentLosesRuns(t *testing.T) {
+	const id = testJobID
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.report("agent-1", "r1", nil)
+	h.submit(singleTaskJob(id, "renders", "schools", 1))
+	h.planAndCommit()
+	h.report("agent-1", "r1", reportRunning(id+".0.0.0"))
+	readAt := (h.now.BootTime - h.startedAt).Milliseconds()
+	reportSilence := func(report *cellpb.Report) {
+		reportRunning(id + ".0.0.0")(report)
+		report.Executor.SteadyMs = readAt
+		report.Executor.Silent = true
+	}
+	for range int(h.planner.config.leaseTimeout() / time.Second) {
+		h.advance(time.Second)
+		h.report("agent-1", "r1", reportSilence)
+		h.planAndCommit()
+		require.Equal(t, []string{"agent-1"}, h.taskAgents(0), "its lease may not have ended yet")
+	}
+	h.submit(singleTaskJob("b000000000000001", "quotes", "weddings", 1))
+	h.planAndCommit()
+	require.Nil(t, h.planner.findTask("b000000000000001.0.0.0").run, "new work on a silent executor")
+
+	h.advance(time.Second)
+	h.report("agent-1", "r1", reportSilence)
+	h.report("agent-2", "r1", nil)
+	h.planAndCommit()
+	require.Equal(t, []string{"agent-2"}, h.taskAgents(0))
+}
+
 // Executors shorten leases to MaxLease. Without accounting for it, work of a lost executor waited 10 s for leases that
 // had ended after 6 s.
 func TestLeaseTimeoutHonorsMaxLease(t *testing.T) {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -43,6 +43,14 @@
 func (p *Planner) updateExecutor(e *executor, report *cellpb.Report, now Instant) {
 	incarnation := incarnationOf(report.GetExecutor())
 	isNew := incarnation != e.incarnation
+	if isNew || report.GetExecutor().GetSteadyMs() != e.state.GetSteadyMs() || e.state.GetSteadyMs() == 0 {
+		e.answeredAt = now.BootTime
+	}
+	if e.state.GetSilent() != report.GetExecutor().GetSilent() {
+		p.replan = true
+		p.config.Log("executor silence changed", "agent", e.agent, "executor", incarnation,
+			"silent", report.GetExecutor().GetSilent(), "answered", (now.BootTime - e.answeredAt).Milliseconds())
+	}
 	if isNew || e.state.GetDraining() != report.GetExecutor().GetDraining() {
 		p.replan = true
 		e.ordersVersion++
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -119,6 +119,7 @@
 
 func (p *Planner) schedulable(e *executor, now Instant) bool {
 	return now.BootTime-e.reportedAt <= p.config.ReportTimeout &&
+		!e.state.GetSilent() &&
 		!e.state.GetDraining() &&
 		!e.state.GetGone() &&
 		!p.operations.EvacuatedZones[e.state.GetZone()] &&
