logfollower: entries read the cell's log in turns of several records

Change: after a poll that returned records, an entry that doesn't schedule pauses so that all entries together make at most 400 such reads a second, at most 150 ms each: 7 ms with 3 entries, 27 ms with 11, 137 ms with 55. The scheduler and callers that wait for a record (a claim read back) don't pause.

--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -30,6 +30,10 @@
 	// entry's copy of the API keys is never older than this plus the response time.
 	operationsPollTimeout = time.Second
 	cellPollTimeout       = time.Second
+	// maxCellReadsPerSecond bounds the reads of the cell's log by all entries that don't schedule. maxCellReadPause keeps
+	// their copies fresh enough to find jobs that another entry has just accepted, and to notice a lost scheduler.
+	maxCellReadsPerSecond = 400
+	maxCellReadPause      = 150 * time.Millisecond
 	// leaseExtension is how far beyond the time of its report an agent may extend leases. It bridges outages of the store
 	// and the scheduler. Tasks of a lost executor are given up only after this time.
 	leaseExtension = 10 * time.Second
@@ -71,8 +75,9 @@
 		}),
 	}
 	e.operationsFollower = c.newFollower(process.logger, bootClock, "operations", operationsPollTimeout,
-		store.Operations(), e.mirror.ApplyOperations)
-	e.cellFollower = c.newFollower(process.logger, bootClock, "cell", cellPollTimeout, e.cellLog, e.mirror.ApplyCell)
+		store.Operations(), e.mirror.ApplyOperations, nil)
+	e.cellFollower = c.newFollower(process.logger, bootClock, "cell", cellPollTimeout, e.cellLog, e.mirror.ApplyCell,
+		e.cellReadPause)
 	e.scheduler = scheduler.New(scheduler.Config{
 		Holder:      process.read.ID + "." + strconv.FormatInt(c.Clock.Now().UnixNano(), 36),
 		Cores:       process.read.Cores,
@@ -141,7 +146,7 @@
 
 func (c *Config) newFollower(
 	logger hclog.Logger, bootClock boottime.Clock, name string, wait time.Duration, topic *platform.Topic,
-	apply func(entries []cell.Entry, reset bool),
+	apply func(entries []cell.Entry, reset bool), pause func() time.Duration,
 ) *logfollower.Follower {
 	return logfollower.New(logfollower.Config{
 		Name:       name,
@@ -152,9 +157,21 @@
 		ReadLatest: topic.ReadLatest,
 		Read:       topic.Read,
 		Apply:      apply,
+		Pause:      pause,
 	})
 }
 
+// cellReadPause is how long this entry pauses after it has read records of the cell's log, so that all entries together
+// read it at most maxCellReadsPerSecond times a second. The scheduler reads without a pause: jobs wait for it.
+func (e *entry) cellReadPause() time.Duration {
+	if e.scheduler.Leading() > 0 {
+		return 0
+	}
+	entries := 0
+	e.mirror.View(func(state *cell.State) { entries = len(state.Members()) })
+	return min(time.Duration(entries)*time.Second/maxCellReadsPerSecond, maxCellReadPause)
+}
+
 // runEntry serves until ctx ends. It then resigns as scheduler, lets callers reconnect to other entries and
 // returns within the grace period.
 func (c *Config) runEntry(ctx context.Context, path string, processSettings settings.ProcessSettings) error {
--- a/logfollower/follower.go
+++ b/logfollower/follower.go
@@ -45,6 +45,9 @@
 	Read       func(ctx context.Context, from int64, wait time.Duration) (cell.Page, error)
 	// Apply receives entries in order. With reset, they replace everything applied before.
 	Apply func(entries []cell.Entry, reset bool)
+	// Pause returns how long to wait after a poll that returned records, so that the next one returns more at once; nil
+	// means no pause. AwaitOffset ends a pause.
+	Pause func() time.Duration
 }
 
 // Follower follows one log.
@@ -56,6 +59,9 @@
 	nextOffset    int64
 	readFailing   bool
 	changed       chan struct{}
+	// waiters counts the pending calls of AwaitOffset; awaited holds a value when there is a new one.
+	waiters int
+	awaited chan struct{}
 }
 
 // New returns a follower.
@@ -63,6 +69,7 @@
 	return &Follower{
 		config:  config,
 		changed: make(chan struct{}),
+		awaited: make(chan struct{}, 1),
 	}
 }
 
@@ -89,16 +96,18 @@
 	reload := true
 	for ctx.Err() == nil {
 		var err error
+		records := 0
 		if reload {
 			err = f.reload(ctx)
 			reload = err != nil
 		} else {
-			err = f.poll(ctx)
+			records, err = f.poll(ctx)
 			reload = errors.Is(err, cell.ErrCompacted)
 		}
 		if err == nil {
 			backoff = initialBackoff
 			f.recordSuccess()
+			f.pause(ctx, records)
 			continue
 		}
 		f.recordFailure(ctx, err)
@@ -113,6 +122,12 @@
 
 // AwaitOffset waits until the record at an offset was applied.
 func (f *Follower) AwaitOffset(ctx context.Context, offset int64) error {
+	f.addWaiter(1)
+	defer f.addWaiter(-1)
+	select {
+	case f.awaited <- struct{}{}:
+	default:
+	}
 	for {
 		f.mu.Lock()
 		reached, changed := f.nextOffset > offset, f.changed
@@ -141,19 +156,45 @@
 	return nil
 }
 
-func (f *Follower) poll(ctx context.Context) error {
+// poll reads new records and returns their number.
+func (f *Follower) poll(ctx context.Context) (int, error) {
 	from := f.NextOffset()
 	sentAt := f.config.BootTime.Now()
 	ctx, cancel := context.WithTimeout(ctx, f.config.Wait+responseTimeout)
 	defer cancel()
 	page, err := f.config.Read(ctx, from, f.config.Wait)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	nextOffset := from + int64(len(page.Entries))
 	f.config.Apply(page.Entries, false)
 	f.advance(nextOffset, sentAt, nextOffset >= page.End)
-	return nil
+	return len(page.Entries), nil
+}
+
+// pause waits after a poll that returned records, unless a caller waits for an offset.
+func (f *Follower) pause(ctx context.Context, records int) {
+	if records == 0 || f.config.Pause == nil {
+		return
+	}
+	pause := f.config.Pause()
+	f.mu.Lock()
+	waiters := f.waiters
+	f.mu.Unlock()
+	if pause <= 0 || waiters > 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.awaited:
+	case <-f.config.Clock.After(pause):
+	}
+}
+
+func (f *Follower) addWaiter(change int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waiters += change
 }
 
 func (f *Follower) advance(nextOffset int64, sentAt time.Duration, atEnd bool) {
--- a/logfollower/follower_test.go
+++ b/logfollower/follower_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,3 +85,51 @@
 	cancel()
 	require.NoError(t, <-done)
 }
+
+// Guards against entries that each read every record of a busy log by itself: with 55 entries, the cell's log was read
+// 1,300 times a second. A caller that waits for a record must still get it at once.
+func TestFollowerPausesBetweenPolls(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	clock := clockwork.NewRealClock()
+	store := storeserver.New(clock)
+	server := httptest.NewServer(store.Endpoint())
+	t.Cleanup(server.CloseClientConnections)
+	topic := platform.NewStore(platform.StoreConfig{
+		Address: strings.TrimPrefix(server.URL, "http://"),
+	}).Topic("keyed.cell")
+	var reads atomic.Int64
+	follower := New(Config{
+		Name:       "cell",
+		Logger:     hclog.NewNullLogger(),
+		Clock:      clock,
+		BootTime:   boottime.NewClock(),
+		Wait:       time.Second,
+		ReadLatest: topic.ReadLatest,
+		Read: func(ctx context.Context, from int64, wait time.Duration) (cell.Page, error) {
+			reads.Add(1)
+			return topic.Read(ctx, from, wait)
+		},
+		Apply: func([]cell.Entry, bool) {},
+		Pause: func() time.Duration { return pause },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- follower.Run(ctx) }()
+	require.Eventually(t, func() bool { return reads.Load() > 0 }, waitTimeout, 5*time.Millisecond)
+	startedAt := clock.Now()
+	for i := range 100 {
+		store.Append("keyed.cell", "a", []byte{byte(i + 1)})
+		clock.Sleep(5 * time.Millisecond)
+	}
+	require.LessOrEqual(t, reads.Load(), int64(clock.Since(startedAt)/pause)+2)
+
+	require.Eventually(t, func() bool { return follower.NextOffset() == 100 }, waitTimeout, time.Millisecond)
+	awaitedAt := clock.Now()
+	awaitDone := make(chan error, 1)
+	go func() { awaitDone <- follower.AwaitOffset(ctx, 100) }()
+	store.Append("keyed.cell", "a", []byte("last"))
+	require.NoError(t, <-awaitDone)
+	require.Less(t, clock.Since(awaitedAt), pause)
+	cancel()
+	require.NoError(t, <-done)
+}
