dispatch: less urgent work leaves headroom for urgent work

Change: work of a lower priority, while it has 30% of its objective as slack, and work that is too late for any value leave the freest executors to urgent work: as much as urgent work asked for within one second of the last 15, at most a quarter of the service's accelerators, and only while over half of them are in use. Whole executors stay free that way, which gangs of 8- accelerator members need.

--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -157,7 +157,7 @@
 		return
 	}
 	snap.reservations++
-	if chosen, _ := p.earliestFit(snap, u, p.placementOptions(racks, u), now); chosen != nil {
+	if chosen, _ := p.earliestFit(snap, u, p.candidateSets(snap, u, racks, now), now); chosen != nil {
 		chosen.reserve(requestedResources(u.group.step))
 	}
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -55,7 +55,7 @@
 		return
 	}
 	racks := p.racks(snap, u.group)
-	if chosen := p.placeNow(snap, u, racks); chosen != nil {
+	if chosen := p.placeNow(snap, u, racks, now); chosen != nil {
 		p.assign(u, chosen, now)
 		return
 	}
@@ -73,23 +73,38 @@
 }
 
 // placeNow returns where a unit fits now, or nil if it doesn't.
-func (p *Planner) placeNow(snap *cellSnapshot, u *schedulingUnit, racks rackedCandidates) assignment {
+func (p *Planner) placeNow(
+	snap *cellSnapshot, u *schedulingUnit, racks rackedCandidates, now Instant,
+) assignment {
 	constraints := p.constraintsOf(u.group)
 	if snap.knownNotToFit(u, constraints) {
 		return nil
 	}
-	candidateSets := p.placementOptions(racks, u)
+	candidateSets := p.candidateSets(snap, u, racks, now)
 	for _, candidates := range append(snap.withoutRecentFailures(u, candidateSets), candidateSets...) {
 		if chosen := p.pack(snap, u, candidates, freeNow); chosen != nil {
 			return chosen
 		}
 	}
-	if len(candidateSets) > 0 && len(candidateSets[len(candidateSets)-1]) == len(racks.all) {
+	options := p.placementOptions(racks, u)
+	if len(options) > 0 && len(options[len(options)-1]) == len(racks.all) {
 		snap.noteNotFitting(u, constraints)
 	}
 	return nil
 }
 
+// candidateSets returns the candidate sets to try now, in order of preference.
+func (p *Planner) candidateSets(
+	snap *cellSnapshot, u *schedulingUnit, racks rackedCandidates, now Instant,
+) [][]*candidate {
+	options := p.placementOptions(racks, u)
+	if !u.deferrable {
+		return options
+	}
+	p.markHeadroom(snap, p.queue(u.group.job.spec).Service, now)
+	return withoutHeadroom(options)
+}
+
 // placementOptions returns the candidate sets to try, in order of preference. A set on which the unit runs
 // RemoteSlowdown times as long is included only once the unit can no longer wait for a better one.
 func (p *Planner) placementOptions(racked rackedCandidates, u *schedulingUnit) [][]*candidate {
--- a/dispatch/planner.go
+++ b/dispatch/planner.go
@@ -16,6 +16,7 @@
 	jobs       map[string]*job
 	executors  map[string]*executor
 	estimates  estimates
+	headroom   headroom
 	// batch is the number of the batch that collects new decisions, committedBatch that of the last stored one.
 	batch          int64
 	committedBatch int64
@@ -46,6 +47,7 @@
 		executors:   map[string]*executor{},
 		runsByAgent: map[string]map[*taskRun]bool{},
 		estimates:   newEstimates(),
+		headroom:    newHeadroom(),
 		batch:       1,
 		tookOverAt:  now.BootTime,
 	}
@@ -83,6 +85,7 @@
 		j.restore(jobState.Progress, now)
 		p.jobs[jobState.Job.GetId()] = j
 		p.replan = true
+		p.recordUrgentArrival(jobState, now)
 		for _, run := range j.activeRuns() {
 			p.addRun(run)
 		}
@@ -95,6 +98,14 @@
 	}
 }
 
+// recordUrgentArrival records a job of priority 0 that has just been submitted.
+func (p *Planner) recordUrgentArrival(jobState cell.JobState, now Instant) {
+	if jobState.Progress != nil || jobState.Cancelled || p.priority(jobState.Job) > 0 {
+		return
+	}
+	p.headroom.recordArrival(p.queue(jobState.Job).Service, peakAccelerators(jobState.Job), now.BootTime)
+}
+
 // TakeBatch returns the changes to store; the batch is empty if there are none.
 func (p *Planner) TakeBatch() Batch {
 	result := Batch{
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -24,6 +24,8 @@
 	included bool
 	// schedulable candidates accept new work now.
 	schedulable bool
+	// headroom candidates are kept free for urgent work.
+	headroom bool
 	// idle candidates have no runs; slow ones recently had a run that progressed far too slowly.
 	idle bool
 	slow bool
@@ -56,6 +58,8 @@
 	// notFitting holds, for constraints, the smallest number of tasks that didn't fit in this pass. Free resources never
 	// grow during a pass, so a later unit of as many tasks doesn't fit either.
 	notFitting map[fitKey]int
+	// headroomMarked holds the services whose headroom was marked in this pass.
+	headroomMarked map[string]bool
 }
 
 // rackedCandidates holds the candidates for some constraints: by rack, and all of them in the same order.
@@ -68,6 +72,8 @@
 type fitKey struct {
 	constraints placementConstraints
 	gang        bool
+	// deferrable units fit on fewer candidates.
+	deferrable bool
 }
 
 func (p *Planner) newSnapshot(now Instant) *cellSnapshot {
@@ -78,6 +84,7 @@
 		unplaceable:        map[*group]bool{},
 		racksByConstraints: map[placementConstraints]rackedCandidates{},
 		notFitting:         map[fitKey]int{},
+		headroomMarked:     map[string]bool{},
 	}
 	for _, e := range p.executors {
 		if e.state == nil || !e.epochConfirmed {
@@ -192,9 +199,17 @@
 	return racks
 }
 
+func (u *schedulingUnit) fitKey(constraints placementConstraints) fitKey {
+	return fitKey{
+		constraints: constraints,
+		gang:        u.group.step.GetGang(),
+		deferrable:  u.deferrable,
+	}
+}
+
 // knownNotToFit reports whether a unit with these constraints and no more tasks didn't fit earlier in the pass.
 func (snap *cellSnapshot) knownNotToFit(u *schedulingUnit, constraints placementConstraints) bool {
-	failed, ok := snap.notFitting[fitKey{constraints: constraints, gang: u.group.step.GetGang()}]
+	failed, ok := snap.notFitting[u.fitKey(constraints)]
 	return ok && len(u.tasks) >= failed
 }
 
@@ -208,7 +223,7 @@
 			return
 		}
 	}
-	key := fitKey{constraints: constraints, gang: u.group.step.GetGang()}
+	key := u.fitKey(constraints)
 	if failed, ok := snap.notFitting[key]; !ok || len(u.tasks) < failed {
 		snap.notFitting[key] = len(u.tasks)
 	}
--- a/dispatch/snapshot_test.go
+++ b/dispatch/snapshot_test.go
@@ -18,13 +18,13 @@
 			for _, u := range h.planner.units(snap.demand, h.now) {
 				racks := h.planner.racks(snap, u.group)
 				skipped := snap.knownNotToFit(u, h.planner.constraintsOf(u.group))
-				if chosen := h.planner.placeNow(snap, u, racks); chosen != nil {
+				if chosen := h.planner.placeNow(snap, u, racks, h.now); chosen != nil {
 					chosen.reserve(requestedResources(u.group.step))
 				}
 				if !skipped {
 					continue
 				}
-				for _, candidates := range h.planner.placementOptions(racks, u) {
+				for _, candidates := range h.planner.candidateSets(snap, u, racks, h.now) {
 					require.Nil(t, h.planner.pack(snap, u, candidates, freeNow), u.tasks[0].id)
 				}
 			}
@@ -82,7 +82,7 @@
 		if snap.knownNotToFit(u, h.planner.constraintsOf(u.group)) {
 			skipped++
 		}
-		if chosen := h.planner.placeNow(snap, u, h.planner.racks(snap, u.group)); chosen != nil {
+		if chosen := h.planner.placeNow(snap, u, h.planner.racks(snap, u.group), h.now); chosen != nil {
 			chosen.reserve(requestedResources(u.group.step))
 		}
 	}
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -28,6 +28,8 @@
 	minSlack time.Duration
 	// waitTime is the time since the scheduler learned of the job.
 	waitTime time.Duration
+	// deferrable units leave the headroom for urgent work free.
+	deferrable bool
 }
 
 // units returns the pending units in placement order. demand is the result of guaranteedDemand.
@@ -81,7 +83,7 @@
 	eligibleMs := max(spec.GetAcceptedMs(), g.job.dueMs(g.occurrence))
 	age := max(time.Duration(now.WallMs-eligibleMs)*time.Millisecond, now.BootTime-g.job.firstSeen)
 	workspace := spec.GetWorkspace()
-	return &schedulingUnit{
+	u := &schedulingUnit{
 		group:      g,
 		priority:   p.priority(spec),
 		guaranteed: p.priority(spec) == 0 && demand[workspace] <= p.operations.Config.Guaranteed(workspace),
@@ -90,6 +92,8 @@
 		minSlack:   p.stepSlack(g) - age,
 		waitTime:   now.BootTime - g.job.firstSeen,
 	}
+	u.deferrable = u.keepsHeadroom(objective)
+	return u
 }
 
 // objective is the time in which an occurrence of a job should be done, counted from the job's acceptance or the
@@ -149,15 +153,20 @@
 		if !j.active() || p.priority(j.spec) != 0 {
 			continue
 		}
-		peak := int64(0)
-		for _, step := range j.spec.GetSteps() {
-			peak = max(peak, int64(step.GetCount())*step.GetAccelerators())
-		}
-		demand[j.spec.GetWorkspace()] += peak
+		demand[j.spec.GetWorkspace()] += peakAccelerators(j.spec)
 	}
 	return demand
 }
 
+// peakAccelerators is the number of accelerators that the widest step of a job requests.
+func peakAccelerators(spec *cellpb.Job) int64 {
+	peak := int64(0)
+	for _, step := range spec.GetSteps() {
+		peak = max(peak, int64(step.GetCount())*step.GetAccelerators())
+	}
+	return peak
+}
+
 // compareUnits places on-time work before late work of the same priority. Late work is worth only a fraction, and
 // placing it first would make the next unit late as well.
 func compareUnits(x, y *schedulingUnit) int {
