dispatch: sick executors don't use up the attempts of a task

Cause: a few executors that fail all they start are free again at once and attract what waits. Only failures of two jobs in a row quarantined an executor.

Change: a task is to blame if it failed on three executors itself; two tasks that fail in a row quarantine an executor. A failed task waits 0.2 s, doubled up to 1 s, before it runs again, and stays away from executors with recent failures, as gangs do. If most executors would be quarantined, none is, since then the cause is common.

TestFaultyJobDoesNotQuarantineExecutors becomes the same test about a task, since tasks are what is judged now, and also checks that no executor is withheld.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -3,65 +3,86 @@
 import "time"
 
 const (
-	// faultyJobExecutors is the number of executors on which a job must fail for the job to be considered the cause.
-	faultyJobExecutors = 3
-	// quarantineThreshold is the number of distinct jobs that must fail in a row to quarantine an executor.
+	// faultyTaskExecutors is the number of executors on which a task must fail for the task to be considered the cause.
+	faultyTaskExecutors = 3
+	// quarantineThreshold is the number of distinct tasks that must fail in a row to quarantine an executor.
 	quarantineThreshold = 2
 	// minQuarantine and maxQuarantine bound the quarantine, which doubles each time an executor fails again.
 	minQuarantine = 3 * time.Second
 	maxQuarantine = 12 * time.Second
-	// gangFailureCooldown is how long after a failure an executor gets no gang member while others have free resources. An
-	// executor that fails intermittently has successes in between, but one failure loses the work of all gang members.
-	gangFailureCooldown = 8 * time.Second
+	// failureCooldown is how long after a failure an executor gets no gang member and no task that failed before, while
+	// others have free resources. An executor that fails intermittently has successes in between, but one failure loses
+	// the work of all gang members, or another of the few attempts of a task.
+	failureCooldown = 8 * time.Second
+	// minRetryDelay and maxRetryDelay bound the delay before a failed task runs again, which doubles with each failure.
+	// Attempts in quick succession would be used up before the failures of other tasks show that the executors are the
+	// cause.
+	minRetryDelay = 200 * time.Millisecond
+	maxRetryDelay = time.Second
 )
 
-// health distinguishes an executor that fails every run from one that was assigned faulty jobs.
+// retryDelay returns the delay before a task that failed that many times runs again.
+func retryDelay(failures int32) time.Duration {
+	delay := minRetryDelay
+	for range failures - 1 {
+		delay = min(2*delay, maxRetryDelay)
+	}
+	return delay
+}
+
+// health distinguishes an executor that fails every run from one that was assigned faulty tasks.
 type health struct {
-	// failedJobs holds the jobs whose runs failed since the last success.
-	failedJobs map[string]bool
-	// lastFailures holds the time of each job's last failed run, regardless of later successes.
-	lastFailures map[string]time.Duration
+	// failedTasks holds the tasks whose runs failed since the last success.
+	failedTasks map[*task]bool
+	// lastFailures holds the time of each task's last failed run, regardless of later successes.
+	lastFailures map[*task]time.Duration
 	// quarantinedUntil is when the executor may be tried again.
 	quarantinedUntil   time.Duration
 	quarantineDuration time.Duration
 }
 
 func (h *health) resetFailures() {
-	h.failedJobs = nil
+	h.failedTasks = nil
 	h.quarantineDuration = 0
 	h.quarantinedUntil = 0
 }
 
 // recordFailure records a failed run and reports whether the executor is quarantined.
-func (h *health) recordFailure(job string, now time.Duration) bool {
-	if h.failedJobs == nil {
-		h.failedJobs = map[string]bool{}
+func (h *health) recordFailure(t *task, now time.Duration) bool {
+	if h.failedTasks == nil {
+		h.failedTasks = map[*task]bool{}
 	}
-	h.failedJobs[job] = true
+	h.failedTasks[t] = true
 	if h.lastFailures == nil {
-		h.lastFailures = map[string]time.Duration{}
+		h.lastFailures = map[*task]time.Duration{}
 	}
-	h.lastFailures[job] = now
-	if len(h.failedJobs) < quarantineThreshold {
+	h.lastFailures[t] = now
+	if len(h.failedTasks) < quarantineThreshold {
 		return false
 	}
 	h.startQuarantine(now)
 	return true
 }
 
-// removeJob removes the failures of a faulty job.
-func (h *health) removeJob(job string) {
-	delete(h.failedJobs, job)
-	delete(h.lastFailures, job)
+// removeTask removes the failures of a faulty task, and ends a quarantine that it caused.
+func (h *health) removeTask(t *task) {
+	if !h.failedTasks[t] {
+		return
+	}
+	delete(h.failedTasks, t)
+	delete(h.lastFailures, t)
+	if len(h.failedTasks) < quarantineThreshold {
+		h.quarantinedUntil = 0
+	}
 }
 
-// failedRecently reports whether a run failed recently. Gangs avoid such executors even after later successes.
+// failedRecently reports whether a run failed recently, regardless of later successes.
 func (h *health) failedRecently(now time.Duration) bool {
-	for job, failedAt := range h.lastFailures {
-		if now-failedAt < gangFailureCooldown {
+	for t, failedAt := range h.lastFailures {
+		if now-failedAt < failureCooldown {
 			return true
 		}
-		delete(h.lastFailures, job)
+		delete(h.lastFailures, t)
 	}
 	return false
 }
--- /dev/null
+++ b/dispatch/health_test.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+// sickCell is a cell in which some executors fail every run within 30 ms while the others complete each in 2 s. All
+// executors report every 20 ms.
+type sickCell struct {
+	*plannerHarness
+	executors int
+	sick      map[string]bool
+	started   map[string]time.Duration
+}
+
+func newSickCell(t *testing.T, executors int, sick ...string) *sickCell {
+	t.Helper()
+	c := &sickCell{
+		plannerHarness: newHarness(t),
+		executors:      executors,
+		sick:           map[string]bool{},
+		started:        map[string]time.Duration{},
+	}
+	for _, agent := range sick {
+		c.sick[agent] = true
+	}
+	return c
+}
+
+// tick reports the state of all executors and plans.
+func (c *sickCell) tick() {
+	for i := range c.executors {
+		agent := fmt.Sprintf("agent-%02d", i)
+		c.report(agent, "r1", func(report *cellpb.Report) {
+			for run := range c.planner.runsByAgent[agent] {
+				c.reportRun(report, agent, run)
+			}
+		})
+		c.planAndCommit()
+	}
+	c.advance(20 * time.Millisecond)
+}
+
+func (c *sickCell) reportRun(report *cellpb.Report, agent string, run *taskRun) {
+	id := run.task.id.String()
+	key := fmt.Sprintf("%s/%d", id, run.runNumber)
+	if _, ok := c.started[key]; !ok {
+		c.started[key] = c.now.BootTime
+	}
+	duration, kind := 2*time.Second, cellpb.EndKind_END_KIND_DONE
+	if c.sick[agent] {
+		duration, kind = 30*time.Millisecond, cellpb.EndKind_END_KIND_FAILED
+	}
+	ranFor := c.now.BootTime - c.started[key]
+	if ranFor < duration {
+		report.Running = append(report.Running, &cellpb.RunningTask{
+			Task:    id,
+			Run:     run.runNumber,
+			Percent: int32(100 * ranFor / duration),
+		})
+		return
+	}
+	c.endNumbers[agent]++
+	report.Ended = append(report.Ended, &cellpb.EndedTask{
+		Number: c.endNumbers[agent],
+		Task:   id,
+		Run:    run.runNumber,
+		Kind:   kind,
+	})
+}
+
+// Guards against jobs that fail because a few executors fail all that they start: freed at once, these attract the work
+// that waits, and each attempt of a task went from one of them to the next. In a play of the grown Serrana deployment
+// with 3 such executors of 64, four jobs used up three attempts each within 200 ms, and since each had failed on three
+// executors, the jobs were taken for faulty and the executors for sound.
+func TestSickExecutorsDoNotFailJobs(t *testing.T) {
+	c := newSickCell(t, 16)
+	queues := c.planner.operations.Config.Queues
+	queues[2].MaxFailures = 3
+	for i := range 5 {
+		if i == 2 {
+			c.sick = map[string]bool{"agent-03": true, "agent-07": true, "agent-11": true}
+		}
+		job := singleTaskJob(fmt.Sprintf("a%015d", i), "checks", "schools", 1)
+		job.Steps[0].Count = 200
+		c.submit(job)
+		for range 150 {
+			c.tick()
+		}
+	}
+	for id, j := range c.planner.jobs {
+		require.NotEqual(t, cellpb.State_STATE_FAILED, j.state, id)
+	}
+}
+
+// Guards against a job all of whose tasks fail wherever they run and that sets executors aside for everybody.
+func TestFaultyJobsLeaveExecutorsSchedulable(t *testing.T) {
+	c := newSickCell(t, 6, "agent-00", "agent-01", "agent-02", "agent-03", "agent-04", "agent-05")
+	job := singleTaskJob("a000000000000001", "checks", "schools", 1)
+	job.Steps[0].Count = 12
+	c.submit(job)
+	for range 50 {
+		c.tick()
+	}
+	require.Equal(t, cellpb.State_STATE_FAILED, c.planner.jobs["a000000000000001"].state)
+	c.sick = map[string]bool{}
+	c.submit(singleTaskJob("b000000000000001", "quotes", "weddings", 1))
+	for range 10 {
+		c.tick()
+	}
+	require.NotNil(t, c.planner.findTask("b000000000000001.0.0.0").run)
+}
+
+// Guards against a wave of faulty jobs that stops the cell, because it quarantines all executors at once.
+func TestQuarantineOfMostExecutorsIsIgnored(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		quarantined int
+		want        int
+	}{
+		{name: "half", quarantined: 2, want: 2},
+		{name: "most", quarantined: 3, want: 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newSickCell(t, 4)
+			c.tick()
+			for i := range test.quarantined {
+				c.planner.executors[fmt.Sprintf("agent-%02d", i)].health.startQuarantine(c.now.BootTime)
+			}
+			schedulable := 0
+			for _, candidate := range c.planner.newSnapshot(c.now).candidates {
+				if candidate.schedulable {
+					schedulable++
+				}
+			}
+			require.Equal(t, test.want, schedulable)
+		})
+	}
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -25,8 +25,6 @@
 	dirty bool
 	// firstSeen is when the scheduler learned of the job.
 	firstSeen time.Duration
-	// failedAgents holds the agents on which runs of the job failed.
-	failedAgents map[string]bool
 }
 
 // group holds the tasks of one step of one occurrence.
@@ -58,8 +56,12 @@
 	run *taskRun
 	// migrated is set once a run of the task was migrated from a slow executor.
 	migrated bool
-	// lastFailedAgent is the agent on which the last run failed, stalled or was slow.
+	// lastFailedAgent is the agent on which the last run failed, stalled or was slow; failedAgents holds all agents on
+	// which a run failed.
 	lastFailedAgent string
+	failedAgents    map[string]bool
+	// retryAt delays the task after a failed run.
+	retryAt time.Duration
 }
 
 // taskRun is one run of a task at an executor, from its order until its end is known.
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -54,14 +54,16 @@
 func (p *Planner) recordFailure(e *executor, run *taskRun, now Instant) {
 	t := run.task
 	t.lastFailedAgent = e.agent
-	p.attributeFailure(e, t.group.job, now)
+	p.attributeFailure(e, t, now)
 	failures := int32(0)
 	if t.group.step.GetGang() {
 		t.group.failures++
 		failures = t.group.failures
+		t.group.retryAt = now.BootTime + retryDelay(failures)
 	} else {
 		t.failures++
 		failures = t.failures
+		t.retryAt = now.BootTime + retryDelay(failures)
 	}
 	p.stopGang(t.group, reasonMemberFailed, now)
 	limit := int32(p.queue(t.group.job.spec).MaxFailures)
@@ -71,23 +73,22 @@
 	p.close(t.group.job, cellpb.State_STATE_FAILED, now)
 }
 
-// attributeFailure attributes a failed run to its job if the job has failed on several executors, and to the executor
-// otherwise.
-func (p *Planner) attributeFailure(e *executor, j *job, now Instant) {
-	id := j.spec.GetId()
-	if j.failedAgents == nil {
-		j.failedAgents = map[string]bool{}
-	}
-	j.failedAgents[e.agent] = true
-	if len(j.failedAgents) >= faultyJobExecutors {
-		for agent := range j.failedAgents {
-			p.executors[agent].health.removeJob(id)
+// attributeFailure attributes a failed run to its task if the task has failed on several executors, and to the executor
+// otherwise. Other tasks of the same job may fail because of their executors all the same.
+func (p *Planner) attributeFailure(e *executor, t *task, now Instant) {
+	if t.failedAgents == nil {
+		t.failedAgents = map[string]bool{}
+	}
+	t.failedAgents[e.agent] = true
+	if len(t.failedAgents) >= faultyTaskExecutors {
+		for agent := range t.failedAgents {
+			p.executors[agent].health.removeTask(t)
 		}
 		return
 	}
-	if e.health.recordFailure(id, now.BootTime) {
+	if e.health.recordFailure(t, now.BootTime) {
 		p.config.Log("executor quarantined", "agent", e.agent, "executor", e.incarnation,
-			"failing", len(e.health.failedJobs), "for", e.health.quarantineDuration.Milliseconds())
+			"failing", len(e.health.failedTasks), "for", e.health.quarantineDuration.Milliseconds())
 	}
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -182,13 +182,13 @@
 	return best
 }
 
-// compareCandidates prefers a candidate other than the one where the task last failed, then one with fewer failed jobs,
-// then the tightest fit.
+// compareCandidates prefers a candidate other than the one where the task last failed, then one with fewer failed tasks
+// and then the tightest fit.
 func compareCandidates(x, y *candidate, t *task) int {
 	if order := -compareTrueFirst(x.agent == t.lastFailedAgent, y.agent == t.lastFailedAgent); order != 0 {
 		return order
 	}
-	if order := cmp.Compare(len(x.health.failedJobs), len(y.health.failedJobs)); order != 0 {
+	if order := cmp.Compare(len(x.health.failedTasks), len(y.health.failedTasks)); order != 0 {
 		return order
 	}
 	if order := cmp.Compare(x.available.accelerators, y.available.accelerators); order != 0 {
--- a/dispatch/runhealth.go
+++ b/dispatch/runhealth.go
@@ -147,10 +147,10 @@
 	return nil
 }
 
-// withoutRecentFailures returns, for a gang, the candidate sets without the candidates on which a run recently failed.
-// For other units it returns nil.
+// withoutRecentFailures returns, for a gang or a task that failed before, the candidate sets without the candidates on
+// which a run recently failed. For other units it returns nil.
 func (snap *cellSnapshot) withoutRecentFailures(u *schedulingUnit, candidateSets [][]*candidate) [][]*candidate {
-	if !u.group.step.GetGang() || !snap.hasRecentFailures {
+	if (!u.group.step.GetGang() && u.tasks[0].failures == 0) || !snap.hasRecentFailures {
 		return nil
 	}
 	filtered := make([][]*candidate, 0, len(candidateSets))
@@ -177,5 +177,5 @@
 
 // suspect reports whether the executor's last runs failed or its runs are slow.
 func (c *candidate) suspect() bool {
-	return len(c.health.failedJobs) > 0 || c.slow
+	return len(c.health.failedTasks) > 0 || c.slow
 }
--- a/dispatch/runhealth_test.go
+++ b/dispatch/runhealth_test.go
@@ -43,19 +43,20 @@
 	require.Equal(t, 1, placed, "a suspect executor is probed with one new task at a time")
 }
 
-// A faulty job fails on one executor after the other. The executors must not be considered unhealthy.
-func TestFaultyJobDoesNotQuarantineExecutors(t *testing.T) {
+// A faulty task fails on one executor after the other. The executors must not be considered unhealthy.
+func TestFaultyTaskDoesNotQuarantineExecutors(t *testing.T) {
 	h := newHarness(t)
 	agents := []string{"agent-1", "agent-2", "agent-3"}
 	for _, agent := range agents {
 		h.report(agent, "r1", nil)
 	}
-	j := newJob(singleTaskJob("a000000000000001", "renders", "schools", 1), h.now)
+	faulty := &task{}
 	for _, agent := range agents {
-		h.planner.attributeFailure(h.planner.executors[agent], j, h.now)
+		h.planner.attributeFailure(h.planner.executors[agent], faulty, h.now)
 	}
 	for _, agent := range agents {
-		require.Empty(t, h.planner.executors[agent].health.failedJobs, agent)
+		require.Empty(t, h.planner.executors[agent].health.failedTasks, agent)
+		require.True(t, h.planner.executors[agent].health.schedulable(h.now.BootTime), agent)
 	}
 }
 
@@ -224,15 +225,14 @@
 		want  string
 	}{
 		{name: "recent failure", since: time.Second, want: "agent-2"},
-		{name: "old failure", since: gangFailureCooldown, want: "agent-1"},
+		{name: "old failure", since: failureCooldown, want: "agent-1"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t)
 			h.report("agent-1", "r1", nil)
 			h.report("agent-2", "r2", nil)
-			failing := newJob(singleTaskJob("a000000000000001", "renders", "schools", 1), h.now)
-			h.planner.attributeFailure(h.planner.executors["agent-1"], failing, h.now)
+			h.planner.attributeFailure(h.planner.executors["agent-1"], &task{}, h.now)
 			h.planner.executors["agent-1"].health.resetFailures()
 			h.advance(test.since)
 			h.report("agent-1", "r1", nil)
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -86,6 +86,7 @@
 		notFitting:         map[fitKey]int{},
 		headroomMarked:     map[string]bool{},
 	}
+	ignoreQuarantine := p.mostQuarantined(now)
 	for _, e := range p.executors {
 		if e.state == nil || !e.epochConfirmed {
 			continue
@@ -93,7 +94,7 @@
 		c := &candidate{
 			executor:    e,
 			free:        e.capacity(),
-			schedulable: p.schedulable(e, now),
+			schedulable: p.schedulable(e, now) && (ignoreQuarantine || e.health.schedulable(now.BootTime)),
 		}
 		snap.candidates = append(snap.candidates, c)
 		snap.byIncarnation[e.incarnation] = c
@@ -124,16 +125,32 @@
 	return snap
 }
 
+// schedulable reports whether an executor accepts new work, apart from a quarantine.
 func (p *Planner) schedulable(e *executor, now Instant) bool {
 	return now.BootTime-e.reportedAt <= p.config.ReportTimeout &&
 		!e.state.GetSilent() &&
 		!e.state.GetDraining() &&
 		!e.state.GetGone() &&
 		!p.operations.EvacuatedZones[e.state.GetZone()] &&
-		e.health.schedulable(now.BootTime) &&
 		now.BootTime >= e.noStartsUntil
 }
 
+// mostQuarantined reports whether most executors that accept work are quarantined. Their failures then have a common
+// cause, such as a wave of faulty jobs, and withholding work from all of them would stop the cell.
+func (p *Planner) mostQuarantined(now Instant) bool {
+	quarantined, total := 0, 0
+	for _, e := range p.executors {
+		if e.state == nil || !e.epochConfirmed || !p.schedulable(e, now) {
+			continue
+		}
+		total++
+		if !e.health.schedulable(now.BootTime) {
+			quarantined++
+		}
+	}
+	return 2*quarantined > total
+}
+
 // satisfies reports whether an executor can ever run a step with the given constraints.
 func (e *executor) satisfies(constraints placementConstraints) bool {
 	return e.state.GetService() == constraints.service && e.hasLabel(constraints.requiredLabel) &&
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -43,7 +43,7 @@
 			if now.BootTime < g.retryAt || !g.ready(now) {
 				continue
 			}
-			taskSets := pendingTasks(g)
+			taskSets := pendingTasks(g, now)
 			if len(taskSets) == 0 {
 				continue
 			}
@@ -60,7 +60,7 @@
 }
 
 // pendingTasks returns the sets of a group's tasks that can be placed now.
-func pendingTasks(g *group) [][]*task {
+func pendingTasks(g *group, now Instant) [][]*task {
 	if g.step.GetGang() {
 		if g.done() || !g.hasNoRuns() {
 			return nil
@@ -69,7 +69,7 @@
 	}
 	var taskSets [][]*task
 	for i, t := range g.tasks {
-		if !t.done && t.run == nil {
+		if !t.done && t.run == nil && now.BootTime >= t.retryAt {
 			taskSets = append(taskSets, g.tasks[i:i+1:i+1])
 		}
 	}
