dispatch: leave persistent tasks on slow executors

Cause: the migration from slow executors did not leave out persistent tasks. They have no end that would come sooner elsewhere, and stopping one takes it from its users.

Test: TestPersistentTaskStaysOnSlowExecutor, failed before.

--- a/dispatch/runhealth.go
+++ b/dispatch/runhealth.go
@@ -117,7 +117,8 @@
 		}
 		for run := range p.runsByAgent[c.agent] {
 			t := run.task
-			if !run.running || run.stopping || t.done || t.migrated || t.group.step.GetGang() {
+			if !run.running || run.stopping || t.done || t.migrated || t.group.step.GetGang() ||
+				t.group.step.GetPersistent() {
 				continue
 			}
 			if p.remaining(run, now) < minMigrationGain*p.estimates.forGroup(t.group) {
--- a/dispatch/runhealth_test.go
+++ b/dispatch/runhealth_test.go
@@ -245,3 +245,28 @@
 		})
 	}
 }
+
+// Guards against a persistent task that is moved off a slow executor: it has no end that would come sooner elsewhere, and
+// its users are without it until it has started again.
+func TestPersistentTaskStaysOnSlowExecutor(t *testing.T) {
+	const taskID = testJobID + ".0.0.0"
+	for _, persistent := range []bool{false, true} {
+		h := newHarness(t)
+		h.report("agent-1", "r1", nil)
+		job := singleTaskJob(testJobID, "checks", "schools", 1)
+		job.Steps[0].Persistent = persistent
+		h.submit(job)
+		h.planAndCommit()
+		h.report("agent-1", "r1", reportRunning(taskID))
+		h.report("agent-2", "r1", nil)
+		h.advance(time.Second)
+		h.planner.executors["agent-1"].slowUntil = h.now.BootTime + slowPeriod
+		h.report("agent-1", "r1", func(report *cellpb.Report) {
+			reportRunning(taskID)(report)
+			report.Running[0].Percent = 12
+		})
+		h.report("agent-2", "r1", nil)
+		h.planAndCommit()
+		require.Equal(t, !persistent, h.planner.findTask(taskID).run.stopping)
+	}
+}
