dispatch: withdraw unsent orders only while the agent is silent

Cause: since leases are counted from the executor's last response, so were unsent orders: an order for an executor whose newest response was over 1.5 s old was withdrawn in the next cycle, before it could leave.

Change: unsent orders are withdrawn when the agent has not reported.

Test: TestUnsentOrderWaitsForReportingAgent, failed before.

--- a/dispatch/expire.go
+++ b/dispatch/expire.go
@@ -18,13 +18,12 @@
 func (p *Planner) expireRunsAt(agent string, now Instant) {
 	e := p.executors[agent]
 	unconfirmed := e == nil || !e.epochConfirmed
-	if !unconfirmed && now.BootTime-e.answeredAt <= p.config.ReportTimeout {
-		return
-	}
+	agentSilent := unconfirmed || now.BootTime-e.reportedAt > p.config.ReportTimeout
 	for _, run := range p.runsAt(agent) {
 		switch {
-		case !run.sent:
+		case !run.sent && agentSilent:
 			p.markLost(run, "order never left", now)
+		case !run.sent:
 		case unconfirmed && now.BootTime-p.tookOverAt > p.config.PredecessorValidity+p.config.leaseTimeout():
 			p.markLost(run, "executor never heard", now)
 		case !unconfirmed && now.BootTime-e.answeredAt > p.config.leaseTimeout():
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -169,6 +169,25 @@
 	require.Equal(t, []string{"agent-2"}, h.taskAgents(0))
 }
 
+// Guards against orders that are withdrawn before they are sent, because the executor's last response is older than the
+// report timeout: agents poll an idle executor once a second and report as often, so that is nothing unusual.
+func TestUnsentOrderWaitsForReportingAgent(t *testing.T) {
+	h := newHarness(t)
+	h.advance(time.Second)
+	h.report("agent-1", "r1", nil)
+	readAt := (h.now.BootTime - h.startedAt).Milliseconds()
+	h.advance(defaultReportTimeout + 100*time.Millisecond)
+	h.report("agent-1", "r1", func(report *cellpb.Report) { report.Executor.SteadyMs = readAt })
+	h.submit(singleTaskJob(testJobID, "renders", "schools", 1))
+	h.planner.Plan(h.now)
+	h.planner.Expire(h.now)
+	require.Equal(t, []string{"agent-1"}, h.taskAgents(0))
+	require.EqualValues(t, 1, h.planner.findTask(testJobID+".0.0.0").runNumber)
+	h.advance(defaultReportTimeout + 100*time.Millisecond)
+	h.planner.Expire(h.now)
+	require.Nil(t, h.planner.findTask(testJobID+".0.0.0").run, "the agent is silent")
+}
+
 // Executors shorten leases to MaxLease. Without accounting for it, work of a lost executor waited 10 s for leases that
 // had ended after 6 s.
 func TestLeaseTimeoutHonorsMaxLease(t *testing.T) {
