agent: one unanswered hold doesn't make an executor silent

Cause: an executor was reported as silent after one hold without a response.

Change: two holds in a row must fail; the second one doesn't wait for ends, so that a crash still shows within two seconds.

--- a/agent/controller.go
+++ b/agent/controller.go
@@ -120,6 +120,9 @@
 			c.sleep(ctx, c.holdSignal, idleHoldWait)
 			continue
 		}
+		if failures > 0 {
+			hold.Wait = 0
+		}
 		holdCtx, cancel := context.WithTimeout(ctx, hold.Wait+orderTimeout)
 		requestedAt := c.config.BootTime.Now()
 		inventory, err := c.config.Executor.Hold(holdCtx, hold)
@@ -128,6 +131,8 @@
 			failures++
 			if failures == 1 && ctx.Err() == nil {
 				c.config.Logger.Warn("hold request to executor failed; retrying", "executor", hold.Executor, "error", err)
+			}
+			if failures >= silentAfterFailures {
 				c.setSilent(current, true)
 			}
 			c.sleep(ctx, c.holdSignal, orderRetryDelay)
