dispatch: forget old arrivals of urgent work in place

Cause: reading the headroom deleted old arrivals from a shared slice without keeping its new length, so zeroed entries stayed until the next reading.

Change: old arrivals are forgotten where they are kept. Also rewraps a test comment.

Test: TestHeadroomTarget asks twice.

--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -42,7 +42,8 @@
 
 // recordArrival records a new urgent job that asks for some accelerators of a service.
 func (h headroom) recordArrival(service string, accelerators int64, now time.Duration) {
-	h.arrivals[service] = append(h.recent(service, now), urgentArrival{
+	h.forgetOld(service, now)
+	h.arrivals[service] = append(h.arrivals[service], urgentArrival{
 		at:           now,
 		accelerators: accelerators,
 	})
@@ -50,7 +51,8 @@
 
 // target is the most that urgent jobs asked for within one headroomWindow of the last headroomMemory.
 func (h headroom) target(service string, now time.Duration) int64 {
-	arrivals := h.recent(service, now)
+	h.forgetOld(service, now)
+	arrivals := h.arrivals[service]
 	most, sum, first := int64(0), int64(0), 0
 	for _, arrival := range arrivals {
 		sum += arrival.accelerators
@@ -63,8 +65,8 @@
 	return most
 }
 
-func (h headroom) recent(service string, now time.Duration) []urgentArrival {
-	return slices.DeleteFunc(h.arrivals[service], func(arrival urgentArrival) bool {
+func (h headroom) forgetOld(service string, now time.Duration) {
+	h.arrivals[service] = slices.DeleteFunc(h.arrivals[service], func(arrival urgentArrival) bool {
 		return now-arrival.at > headroomMemory
 	})
 }
--- a/dispatch/headroom_test.go
+++ b/dispatch/headroom_test.go
@@ -56,6 +56,7 @@
 				h.recordArrival("desk", arrival.accelerators, arrival.at)
 			}
 			require.Equal(t, test.want, h.target("desk", test.now))
+			require.Equal(t, test.want, h.target("desk", test.now), "asking changes nothing")
 			require.Zero(t, h.target("other", test.now))
 		})
 	}
--- a/dispatch/runhealth_test.go
+++ b/dispatch/runhealth_test.go
@@ -246,8 +246,8 @@
 	}
 }
 
-// Guards against a persistent task that is moved off a slow executor: it has no end that would come sooner elsewhere, and
-// its users are without it until it has started again.
+// Guards against a persistent task that is moved off a slow executor: it has no end that could come sooner elsewhere,
+// and its users are without it until it has started again.
 func TestPersistentTaskStaysOnSlowExecutor(t *testing.T) {
 	const taskID = testJobID + ".0.0.0"
 	for _, persistent := range []bool{false, true} {
