--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -24,10 +24,10 @@
 // retryDelay returns the delay before a task that failed that many times runs again.
 func retryDelay(failures int32) time.Duration {
 	delay := minRetryDelay
-	for range failures - 1 {
-		delay = min(2*delay, maxRetryDelay)
+	for ; failures > 1 && delay < maxRetryDelay; failures-- {
+		delay *= 2
 	}
-	return delay
+	return min(delay, maxRetryDelay)
 }
 
 // health distinguishes an executor that fails every run from one that was assigned faulty tasks.
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -143,3 +144,16 @@
 		})
 	}
 }
+
+// Guards against a record with a very high number of failures that keeps the scheduler busy for seconds.
+func TestRetryDelay(t *testing.T) {
+	require.Equal(t, minRetryDelay, retryDelay(1))
+	require.Equal(t, 2*minRetryDelay, retryDelay(2))
+	require.Equal(t, maxRetryDelay, retryDelay(9))
+	result := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			retryDelay(math.MaxInt32)
+		}
+	})
+	require.Less(t, result.NsPerOp(), time.Millisecond.Nanoseconds())
+}
