dispatch: the first completions after a takeover make no run slow

Cause: a run was slow if its pace led to 12 times the mean of the completed runs of its queue.

Change: a run must also be that much slower than the median of what the paces of the other runs of its queue lead to, if there are more than three.

Test: TestFirstCompletionsDontMakeOthersSlow, failed before.

--- a/dispatch/runhealth.go
+++ b/dispatch/runhealth.go
@@ -18,6 +18,8 @@
 	// slowPeriod is how long an executor counts as slow after a run was slow there. Without it the executor would look
 	// healthy as soon as its runs were migrated, and receive them again.
 	slowPeriod = 8 * time.Second
+	// minTypicalRuns is the number of other runs of a queue from which their paces tell what is typical.
+	minTypicalRuns = 3
 	// completePercent is the progress of a run that has finished its own part.
 	completePercent = 100
 	// minMigrationGain is the factor by which a migration must be expected to shorten a run's remaining time.
@@ -39,13 +41,13 @@
 				p.checkDraining(c, run, now)
 				continue
 			}
-			p.checkProgress(c, run, now)
+			p.checkProgress(snap, c, run, now)
 		}
 		c.slow = now.BootTime < c.slowUntil
 	}
 }
 
-func (p *Planner) checkProgress(c *candidate, run *taskRun, now Instant) {
+func (p *Planner) checkProgress(snap *cellSnapshot, c *candidate, run *taskRun, now Instant) {
 	g := run.task.group
 	expected := p.estimates.forGroup(g)
 	stallTimeout := baseStallTimeout + time.Duration(stallTimeoutShare*float64(expected))
@@ -59,12 +61,11 @@
 		p.stopGang(g, reasonStalled, now)
 		return
 	}
-	progressed := run.percent - run.basePercent
-	elapsed := run.progressedClock - run.startedClock
-	if elapsed < minPaceSampleTime || progressed <= 0 || !p.estimates.isMeasured(g) {
+	total, ok := run.projectedTotal()
+	if !ok || !p.estimates.isMeasured(g) {
 		return
 	}
-	total := elapsed * 100 / time.Duration(progressed)
+	expected = max(expected, p.typicalTotal(snap, run))
 	if total <= time.Duration(slowFactor*p.config.RemoteSlowdown)*expected {
 		return
 	}
@@ -75,6 +76,36 @@
 	c.slowUntil = now.BootTime + slowPeriod
 }
 
+// projectedTotal returns the run time that a run's pace leads to; false as long as the pace isn't known.
+func (r *taskRun) projectedTotal() (time.Duration, bool) {
+	elapsed, progressed := r.progressedClock-r.startedClock, r.percent-r.basePercent
+	if elapsed < minPaceSampleTime || progressed <= 0 {
+		return 0, false
+	}
+	return elapsed * completePercent / time.Duration(progressed), true
+}
+
+// typicalTotal returns the median of the projected run times of the other runs of a run's queue, or 0 if there are too
+// few. The mean of completed runs alone is too low after a takeover: the shortest runs are the first to complete.
+func (p *Planner) typicalTotal(snap *cellSnapshot, run *taskRun) time.Duration {
+	queue := run.task.group.job.spec.GetQueue()
+	totals, ok := snap.projectedTotals[queue]
+	if !ok {
+		p.eachRun(func(other *taskRun) {
+			if total, known := other.projectedTotal(); known && other.task.group.job.spec.GetQueue() == queue {
+				totals = append(totals, total)
+			}
+		})
+		slices.Sort(totals)
+		snap.projectedTotals[queue] = totals
+	}
+	// The run itself is one of them.
+	if len(totals) <= minTypicalRuns {
+		return 0
+	}
+	return totals[len(totals)/2]
+}
+
 // waitsForGang reports whether a run makes no progress because it waits for other members of its gang, either to start
 // or, if its own part is finished, to end.
 func waitsForGang(run *taskRun) bool {
--- a/dispatch/runhealth_test.go
+++ b/dispatch/runhealth_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -270,3 +271,42 @@
 		require.Equal(t, !persistent, h.planner.findTask(taskID).run.stopping)
 	}
 }
+
+// Guards against healthy executors that count as slow after a takeover: the first runs that a scheduler sees complete
+// are the shortest of their queue, so their mean is far below the run times of the rest. In an incident, 43 runs were
+// moved for that.
+func TestFirstCompletionsDontMakeOthersSlow(t *testing.T) {
+	const tasks = 8
+	h := newHarness(t)
+	for i := range tasks {
+		h.report(fmt.Sprintf("agent-%d", i), "r1", nil)
+	}
+	job := singleTaskJob(testJobID, "checks", "schools", 8)
+	job.Steps[0].Count = tasks
+	job.Steps[0].EstimateMs = 10000
+	h.submit(job)
+	h.planAndCommit()
+	for second := range int32(6) {
+		for i := range int32(tasks) {
+			run := h.planner.findTask(fmt.Sprintf("%s.0.0.%d", testJobID, i)).run
+			if run == nil {
+				continue
+			}
+			h.report(run.agent, "r1", func(report *cellpb.Report) {
+				if i < minRunTimeSamples && second == 1 {
+					report.Ended = []*cellpb.EndedTask{
+						{Number: 1, Task: run.task.id.String(), Run: 1, Kind: cellpb.EndKind_END_KIND_DONE},
+					}
+					return
+				}
+				reportRunning(run.task.id.String())(report)
+				report.Running[0].Percent = 5 * second
+			})
+		}
+		h.planAndCommit()
+		h.advance(600 * time.Millisecond)
+	}
+	for i := range tasks {
+		require.Zero(t, h.planner.executors[fmt.Sprintf("agent-%d", i)].slowUntil, i)
+	}
+}
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -58,6 +58,8 @@
 	// notFitting holds, for constraints, the smallest number of tasks that didn't fit in this pass. Free resources never
 	// grow during a pass, so a later unit of as many tasks doesn't fit either.
 	notFitting map[fitKey]int
+	// projectedTotals caches the projected run times of the runs of a queue, in ascending order.
+	projectedTotals map[string][]time.Duration
 	// headroomMarked holds the services whose headroom was marked in this pass.
 	headroomMarked map[string]bool
 }
@@ -85,6 +87,7 @@
 		racksByConstraints: map[placementConstraints]rackedCandidates{},
 		notFitting:         map[fitKey]int{},
 		headroomMarked:     map[string]bool{},
+		projectedTotals:    map[string][]time.Duration{},
 	}
 	ignoreQuarantine := p.mostQuarantined(now)
 	for _, e := range p.executors {
