--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -11,31 +11,31 @@
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
-// sickCell is a cell in which some executors fail every run within 30 ms while the others complete each in 2 s. All
+// failingCell is a cell in which some executors fail every run within 30 ms while the others complete each in 2 s. All
 // executors report every 20 ms.
-type sickCell struct {
+type failingCell struct {
 	*plannerHarness
 	executors int
-	sick      map[string]bool
+	failing   map[string]bool
 	started   map[string]time.Duration
 }
 
-func newSickCell(t *testing.T, executors int, sick ...string) *sickCell {
+func newFailingCell(t *testing.T, executors int, failing ...string) *failingCell {
 	t.Helper()
-	c := &sickCell{
+	c := &failingCell{
 		plannerHarness: newHarness(t),
 		executors:      executors,
-		sick:           map[string]bool{},
+		failing:        map[string]bool{},
 		started:        map[string]time.Duration{},
 	}
-	for _, agent := range sick {
-		c.sick[agent] = true
+	for _, agent := range failing {
+		c.failing[agent] = true
 	}
 	return c
 }
 
 // tick reports the state of all executors and plans.
-func (c *sickCell) tick() {
+func (c *failingCell) tick() {
 	for i := range c.executors {
 		agent := fmt.Sprintf("agent-%02d", i)
 		c.report(agent, "r1", func(report *cellpb.Report) {
@@ -48,14 +48,14 @@
 	c.advance(20 * time.Millisecond)
 }
 
-func (c *sickCell) reportRun(report *cellpb.Report, agent string, run *taskRun) {
+func (c *failingCell) reportRun(report *cellpb.Report, agent string, run *taskRun) {
 	id := run.task.id.String()
 	key := fmt.Sprintf("%s/%d", id, run.runNumber)
 	if _, ok := c.started[key]; !ok {
 		c.started[key] = c.now.BootTime
 	}
 	duration, kind := 2*time.Second, cellpb.EndKind_END_KIND_DONE
-	if c.sick[agent] {
+	if c.failing[agent] {
 		duration, kind = 30*time.Millisecond, cellpb.EndKind_END_KIND_FAILED
 	}
 	ranFor := c.now.BootTime - c.started[key]
@@ -80,13 +80,13 @@
 // that waits, and each attempt of a task went from one of them to the next. In a play of the grown Serrana deployment
 // with 3 such executors of 64, four jobs used up three attempts each within 200 ms, and since each had failed on three
 // executors, the jobs were taken for faulty and the executors for sound.
-func TestSickExecutorsDoNotFailJobs(t *testing.T) {
-	c := newSickCell(t, 16)
+func TestFailingExecutorsDoNotFailJobs(t *testing.T) {
+	c := newFailingCell(t, 16)
 	queues := c.planner.operations.Config.Queues
 	queues[2].MaxFailures = 3
 	for i := range 5 {
 		if i == 2 {
-			c.sick = map[string]bool{"agent-03": true, "agent-07": true, "agent-11": true}
+			c.failing = map[string]bool{"agent-03": true, "agent-07": true, "agent-11": true}
 		}
 		job := singleTaskJob(fmt.Sprintf("a%015d", i), "checks", "schools", 1)
 		job.Steps[0].Count = 200
@@ -102,7 +102,7 @@
 
 // Guards against a job all of whose tasks fail wherever they run and that sets executors aside for everybody.
 func TestFaultyJobsLeaveExecutorsSchedulable(t *testing.T) {
-	c := newSickCell(t, 6, "agent-00", "agent-01", "agent-02", "agent-03", "agent-04", "agent-05")
+	c := newFailingCell(t, 6, "agent-00", "agent-01", "agent-02", "agent-03", "agent-04", "agent-05")
 	job := singleTaskJob("a000000000000001", "checks", "schools", 1)
 	job.Steps[0].Count = 12
 	c.submit(job)
@@ -110,7 +110,7 @@
 		c.tick()
 	}
 	require.Equal(t, cellpb.State_STATE_FAILED, c.planner.jobs["a000000000000001"].state)
-	c.sick = map[string]bool{}
+	c.failing = map[string]bool{}
 	c.submit(singleTaskJob("b000000000000001", "quotes", "weddings", 1))
 	for range 10 {
 		c.tick()
@@ -129,7 +129,7 @@
 		{name: "most", quarantined: 3, want: 4},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c := newSickCell(t, 4)
+			c := newFailingCell(t, 4)
 			c.tick()
 			for i := range test.quarantined {
 				c.planner.executors[fmt.Sprintf("agent-%02d", i)].health.startQuarantine(c.now.BootTime)
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -43,6 +43,7 @@
 func (p *Planner) updateExecutor(e *executor, report *cellpb.Report, now Instant) {
 	incarnation := incarnationOf(report.GetExecutor())
 	isNew := incarnation != e.incarnation
+	// A repeated clock reading means that the lists are those of an earlier response. Without a clock, each report counts.
 	if isNew || report.GetExecutor().GetSteadyMs() != e.state.GetSteadyMs() || e.state.GetSteadyMs() == 0 {
 		e.answeredAt = now.BootTime
 	}
