dispatch: compute placement options once; one simulated run in the tests

Cause: a unit that did not fit had its placement options computed twice in a pass, and two load tests each had a loop of their own that turned a run into a running or ended entry of a report.

Change: placeNow computes the options and passes them on; the planner's test harness simulates a run for both tests. Placements, assertions and bounds are as they were.

Checked: make test, exit 0; TestRendersLeaveRoomForQuotes still places 13 of 15 quotes at once and starts 93 runs.

--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -157,7 +157,8 @@
 		return
 	}
 	snap.reservations++
-	if chosen, _ := p.earliestFit(snap, u, p.candidateSets(snap, u, racks, now), now); chosen != nil {
+	candidateSets := p.candidateSets(snap, u, p.placementOptions(racks, u), now)
+	if chosen, _ := p.earliestFit(snap, u, candidateSets, now); chosen != nil {
 		chosen.reserve(requestedResources(u.group.step))
 	}
 }
--- a/dispatch/headroom_test.go
+++ b/dispatch/headroom_test.go
@@ -69,30 +69,16 @@
 	t.Helper()
 	const executors = 8
 	h := newHarness(t)
-	started := map[string]time.Duration{}
 	report := func() {
 		for i := range executors {
 			agent := fmt.Sprintf("agent-%d", i)
 			h.report(agent, "r1", func(report *cellpb.Report) {
 				for run := range h.planner.runsByAgent[agent] {
-					id := run.task.id.String()
-					if _, ok := started[id]; !ok {
-						started[id] = h.now.BootTime
-					}
-					ranFor, needs := h.now.BootTime-started[id], 11*time.Second
+					duration := 11 * time.Second
 					if run.task.group.step.GetGang() {
-						needs = 2500 * time.Millisecond
-					}
-					if ranFor < needs {
-						report.Running = append(report.Running, &cellpb.RunningTask{
-							Task: id, Run: run.runNumber, Percent: int32(100 * ranFor / needs),
-						})
-						continue
+						duration = 2500 * time.Millisecond
 					}
-					h.endNumbers[agent]++
-					report.Ended = append(report.Ended, &cellpb.EndedTask{
-						Number: h.endNumbers[agent], Task: id, Run: run.runNumber, Kind: cellpb.EndKind_END_KIND_DONE,
-					})
+					h.simulateRun(report, run, duration, cellpb.EndKind_END_KIND_DONE)
 				}
 			})
 		}
@@ -118,7 +104,7 @@
 		}
 		h.advance(100 * time.Millisecond)
 	}
-	return placedAtOnce, len(started)
+	return placedAtOnce, len(h.simulatedSince)
 }
 
 // Guards against quotes that wait because renders with seconds to spare have taken all room: both fit one after the
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -17,7 +17,6 @@
 	*plannerHarness
 	executors int
 	failing   map[string]bool
-	started   map[string]time.Duration
 }
 
 func newFailingCell(t *testing.T, executors int, failing ...string) *failingCell {
@@ -26,7 +25,6 @@
 		plannerHarness: newHarness(t),
 		executors:      executors,
 		failing:        map[string]bool{},
-		started:        map[string]time.Duration{},
 	}
 	for _, agent := range failing {
 		c.failing[agent] = true
@@ -49,31 +47,11 @@
 }
 
 func (c *failingCell) reportRun(report *cellpb.Report, agent string, run *taskRun) {
-	id := run.task.id.String()
-	key := fmt.Sprintf("%s/%d", id, run.runNumber)
-	if _, ok := c.started[key]; !ok {
-		c.started[key] = c.now.BootTime
-	}
-	duration, kind := 2*time.Second, cellpb.EndKind_END_KIND_DONE
 	if c.failing[agent] {
-		duration, kind = 30*time.Millisecond, cellpb.EndKind_END_KIND_FAILED
-	}
-	ranFor := c.now.BootTime - c.started[key]
-	if ranFor < duration {
-		report.Running = append(report.Running, &cellpb.RunningTask{
-			Task:    id,
-			Run:     run.runNumber,
-			Percent: int32(100 * ranFor / duration),
-		})
+		c.simulateRun(report, run, 30*time.Millisecond, cellpb.EndKind_END_KIND_FAILED)
 		return
 	}
-	c.endNumbers[agent]++
-	report.Ended = append(report.Ended, &cellpb.EndedTask{
-		Number: c.endNumbers[agent],
-		Task:   id,
-		Run:    run.runNumber,
-		Kind:   kind,
-	})
+	c.simulateRun(report, run, 2*time.Second, cellpb.EndKind_END_KIND_DONE)
 }
 
 // Guards against jobs that fail because a few executors fail all that they start: freed at once, these attract the work
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -80,24 +80,23 @@
 	if snap.knownNotToFit(u, constraints) {
 		return nil
 	}
-	candidateSets := p.candidateSets(snap, u, racks, now)
+	options := p.placementOptions(racks, u)
+	candidateSets := p.candidateSets(snap, u, options, now)
 	for _, candidates := range append(snap.withoutRecentFailures(u, candidateSets), candidateSets...) {
 		if chosen := p.pack(snap, u, candidates, freeNow); chosen != nil {
 			return chosen
 		}
 	}
-	options := p.placementOptions(racks, u)
 	if len(options) > 0 && len(options[len(options)-1]) == len(racks.all) {
 		snap.noteNotFitting(u, constraints)
 	}
 	return nil
 }
 
-// candidateSets returns the candidate sets to try now, in order of preference.
+// candidateSets returns the placement options as candidate sets to try now, in the same order.
 func (p *Planner) candidateSets(
-	snap *cellSnapshot, u *schedulingUnit, racks rackedCandidates, now Instant,
+	snap *cellSnapshot, u *schedulingUnit, options [][]*candidate, now Instant,
 ) [][]*candidate {
-	options := p.placementOptions(racks, u)
 	if !u.deferrable {
 		return options
 	}
--- a/dispatch/planner_test.go
+++ b/dispatch/planner_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -22,6 +23,8 @@
 	endNumbers map[string]int64
 	// startedAt is when the executors' clocks started.
 	startedAt time.Duration
+	// simulatedSince holds when each run was first simulated.
+	simulatedSince map[string]time.Duration
 }
 
 func newHarness(t *testing.T) *plannerHarness {
@@ -56,11 +59,12 @@
 		},
 	})
 	return &plannerHarness{
-		t:          t,
-		planner:    planner,
-		now:        now,
-		endNumbers: map[string]int64{},
-		startedAt:  now.BootTime,
+		t:              t,
+		planner:        planner,
+		now:            now,
+		endNumbers:     map[string]int64{},
+		startedAt:      now.BootTime,
+		simulatedSince: map[string]time.Duration{},
 	}
 }
 
@@ -109,6 +113,33 @@
 	}, h.now)
 }
 
+// simulateRun adds a run to a report of its executor: as running, or once it has run for a duration, as ended.
+func (h *plannerHarness) simulateRun(
+	report *cellpb.Report, run *taskRun, duration time.Duration, kind cellpb.EndKind,
+) {
+	id := run.task.id.String()
+	key := fmt.Sprintf("%s/%d", id, run.runNumber)
+	if _, ok := h.simulatedSince[key]; !ok {
+		h.simulatedSince[key] = h.now.BootTime
+	}
+	ranFor := h.now.BootTime - h.simulatedSince[key]
+	if ranFor < duration {
+		report.Running = append(report.Running, &cellpb.RunningTask{
+			Task:    id,
+			Run:     run.runNumber,
+			Percent: int32(100 * ranFor / duration),
+		})
+		return
+	}
+	h.endNumbers[run.agent]++
+	report.Ended = append(report.Ended, &cellpb.EndedTask{
+		Number: h.endNumbers[run.agent],
+		Task:   id,
+		Run:    run.runNumber,
+		Kind:   kind,
+	})
+}
+
 // planAndCommit runs a planning pass and commits its batch as if it were stored.
 func (h *plannerHarness) planAndCommit() {
 	h.planner.Expire(h.now)
--- a/dispatch/snapshot_test.go
+++ b/dispatch/snapshot_test.go
@@ -24,7 +24,7 @@
 				if !skipped {
 					continue
 				}
-				for _, candidates := range h.planner.candidateSets(snap, u, racks, h.now) {
+				for _, candidates := range h.planner.candidateSets(snap, u, h.planner.placementOptions(racks, u), h.now) {
 					require.Nil(t, h.planner.pack(snap, u, candidates, freeNow), u.tasks[0].id)
 				}
 			}
