agent: drop the starts of a reply after a late shrink

Cause: exchangeReport compared the capacity with that in the report in one critical section and applied the orders in the next one. A heartbeat that shows a shrink between the two cleared the starts of earlier replies, but those of this reply were applied after it and carried out, although they were chosen for the capacity before the shrink.

Change: an incarnation remembers the number of the newest report before its capacity last shrank, and applyOrders ignores the starts in replies to reports up to it, in the critical section that applies the orders. The starts in such a reply are now ignored also if the capacity has grown again before the reply arrives; the report of the new capacity, which is due at once, gets them.

TestStartsOfEarlierReportsAreDroppedAfterShrink applies a reply after the shrink: 1 start before this change ("Should be zero, but was 1", 3 of 3 runs), none after it.

--- a/agent/capacity_test.go
+++ b/agent/capacity_test.go
@@ -155,3 +155,33 @@
 		})
 	}
 }
+
+// Guards against starts that pass because the executor shrinks after the reply was read and before its orders are
+// applied. The executor would get work for room that it no longer has.
+func TestStartsOfEarlierReportsAreDroppedAfterShrink(t *testing.T) {
+	starts := 0
+	c, _ := newCapacityController(t, ExecutorClient{
+		Start: func(context.Context, cell.TaskStart) error {
+			starts++
+			return nil
+		},
+	})
+	reply := func(report *cellpb.Report) {
+		c.applyOrders(t.Context(), report.GetSequence(), &cellpb.Orders{
+			Epoch:    7,
+			Executor: "i-1",
+			Born:     1,
+			GrantMs:  time.Minute.Milliseconds(),
+			Starts:   []*cellpb.Start{{Task: "a.0.0.0", Run: 1}},
+		})
+		c.orders.Wait()
+	}
+	before, _ := c.report(false)
+	c.HandleHeartbeat(heartbeatWithAccelerators(2, 2))
+	reply(before)
+	require.Zero(t, starts)
+
+	after, _ := c.report(false)
+	reply(after)
+	require.Equal(t, 1, starts)
+}
--- a/agent/heartbeats.go
+++ b/agent/heartbeats.go
@@ -38,7 +38,7 @@
 			"before", before.String(), "after", after.String())
 		notify(c.reportSignal)
 	}
-	c.incarnation.updateExecutor(heartbeat.Executor)
+	c.incarnation.updateExecutor(heartbeat.Executor, c.lastSequence)
 	notify(c.holdSignal)
 	return true
 }
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -57,6 +57,8 @@
 	// clock up to which leases may be extended.
 	recordedEnd int64
 	leaseLimit  time.Duration
+	// shrunkAfter is the sequence number of the newest report before the capacity last shrank.
+	shrunkAfter uint64
 	// ordered holds the starts of the newest orders.
 	ordered  map[run]bool
 	starting map[run]bool
@@ -125,11 +127,6 @@
 	return true
 }
 
-// hasShrunkSince reports whether the executor's capacity is less in any resource than in an earlier description.
-func (i *incarnation) hasShrunkSince(earlier *cellpb.Executor) bool {
-	return !cell.CapacityOf(i.executor).Covers(cell.CapacityOf(earlier))
-}
-
 // refuteShutdown drops the announcement of the executor's end if a hold that was requested after it was answered.
 func (i *incarnation) refuteShutdown(requestedAt time.Duration) {
 	if requestedAt > i.shutdownAt {
@@ -145,13 +142,14 @@
 }
 
 // updateExecutor updates the executor's description from a heartbeat. An executor that was taken for gone gets
-// holds again. After a shrink, starts are attempted again only if the scheduler orders them for the new capacity.
-func (i *incarnation) updateExecutor(executor *cellpb.Executor) {
-	earlier := i.executor
-	i.executor = proto.CloneOf(executor)
-	if i.hasShrunkSince(earlier) {
+// holds again. After a shrink, starts are attempted again only if the scheduler orders them for the new capacity, in
+// the reply to a report with a higher sequence number than lastSequence.
+func (i *incarnation) updateExecutor(executor *cellpb.Executor, lastSequence uint64) {
+	if !cell.CapacityOf(executor).Covers(cell.CapacityOf(i.executor)) {
 		i.ordered = map[run]bool{}
+		i.shrunkAfter = lastSequence
 	}
+	i.executor = proto.CloneOf(executor)
 }
 
 func (i *incarnation) finishOrder(key run, isStart bool) {
@@ -276,6 +274,15 @@
 	return changed
 }
 
+// validStarts returns the starts in the reply to a report, unless they were chosen for more room than there is: a
+// report of the new capacity is due.
+func (i *incarnation) validStarts(sequence uint64, orders *cellpb.Orders) []*cellpb.Start {
+	if sequence <= i.shrunkAfter {
+		return nil
+	}
+	return orders.GetStarts()
+}
+
 // hasUnconfirmedOrders reports whether the inventory doesn't show the outcome of an acknowledged order yet.
 func (i *incarnation) hasUnconfirmedOrders() bool {
 	for key := range i.stopped {
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -35,7 +35,7 @@
 	current.recordedEnd = max(current.recordedEnd, orders.GetRecorded())
 	current.leaseLimit = max(current.leaseLimit, time.Duration(orders.GetGrantMs())*time.Millisecond)
 	current.ordered = map[run]bool{}
-	for _, start := range orders.GetStarts() {
+	for _, start := range current.validStarts(sequence, orders) {
 		key := runOf(start)
 		current.ordered[key] = true
 		if !current.beginOrder(key, true) {
--- a/agent/report.go
+++ b/agent/report.go
@@ -186,10 +186,6 @@
 	if current != nil && current.fence.Epoch == orders.GetEpoch() && wasProcessed(report, orders) {
 		current.removeDelivered(report)
 	}
-	if current != nil && current.hasShrunkSince(report.GetExecutor()) {
-		// The starts were chosen for more room than there is; a report of the new capacity is due.
-		orders.Starts = nil
-	}
 	c.mu.Unlock()
 	c.applyOrders(ctx, report.GetSequence(), orders)
 	return nil
