agent: remove delivered rejections once their reply is applied

Cause: exchangeReport removed the rejections that a report had delivered in one critical section and applied the reply's orders in another one. The reply to an earlier report, which may still order a rejected start, could be applied between the two: the rejection no longer held the start back, and the reply wasn't ignored as an older one yet. The run would be started although the scheduler may have ordered the task elsewhere.

Change: the orders are applied first, so that the reply to an earlier report is ignored from then on, and the rejections are removed after it.

TestRejectedStartIsNotRepeatedByOlderReply applies both replies at the same time.

--- a/agent/report.go
+++ b/agent/report.go
@@ -182,12 +182,13 @@
 	if orders.GetEpoch() == 0 {
 		return errNoScheduler
 	}
+	c.applyOrders(ctx, report.GetSequence(), orders)
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if current != nil && current.fence.Epoch == orders.GetEpoch() && wasProcessed(report, orders) {
+		// From here on the reply to an earlier report, which may order a rejected start again, is ignored.
 		current.removeDelivered(report)
 	}
-	c.mu.Unlock()
-	c.applyOrders(ctx, report.GetSequence(), orders)
 	return nil
 }
 
--- a/agent/report_test.go
+++ b/agent/report_test.go
@@ -1,11 +1,17 @@
 package agent
 
 import (
+	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"radishpath.example/radishpath/cell"
+	"radishpath.example/radishpath/cell/cellpb"
 )
 
 // After a takeover an agent must find the new scheduler quickly: an address that knows no scheduler is retried soon,
@@ -26,3 +32,50 @@
 	require.Equal(t, "entry-1", selector.selectAddress(candidates, now+noSchedulerBackoff))
 	require.Equal(t, "dead", selector.selectAddress(candidates, now+unreachableBackoff))
 }
+
+// Guards against a run that is started after it was rejected. The scheduler has received the rejection and may order
+// the task elsewhere; the reply to an earlier report, which arrives at the same time, still orders the start.
+func TestRejectedStartIsNotRepeatedByOlderReply(t *testing.T) {
+	for range 100 {
+		starts := 0
+		c := newTestController(ExecutorClient{
+			Start: func(context.Context, cell.TaskStart) error {
+				starts++
+				return nil
+			},
+		})
+		c.applyOrders(t.Context(), 0, &cellpb.Orders{Epoch: 7})
+		hold, current, _ := c.nextHold()
+		c.applyInventory(current, hold, cell.Inventory{Born: 1}, c.config.BootTime.Now())
+		older, _ := c.report(false)
+		current.rejectStart(run{task: "a.0.0.0", run: 1}, "room")
+		newer, _ := c.report(false)
+		var replies sync.WaitGroup
+		replies.Add(2)
+		c.config.Call = func(_ context.Context, _ string, request, reply proto.Message) error {
+			orders := &cellpb.Orders{
+				Epoch:    7,
+				Executor: "i-1",
+				Born:     1,
+				GrantMs:  time.Minute.Milliseconds(),
+			}
+			if request.(*cellpb.Request).GetReport().GetSequence() == older.GetSequence() {
+				orders.Starts = []*cellpb.Start{{Task: "a.0.0.0", Run: 1}}
+			}
+			reply.(*cellpb.Reply).Body = &cellpb.Reply_Orders{
+				Orders: orders,
+			}
+			replies.Done()
+			replies.Wait()
+			return nil
+		}
+		var calls sync.WaitGroup
+		for _, report := range []*cellpb.Report{older, newer} {
+			calls.Go(func() { _ = c.exchangeReport(t.Context(), "scheduler", report, current) })
+		}
+		calls.Wait()
+		c.orders.Wait()
+		require.Empty(t, current.rejected)
+		require.Zero(t, starts)
+	}
+}
