cell, dispatch: one type for amounts of resources

Cause: dispatch.resources and cell.Capacity had the same three fields, and each its own comparison.

Change: dispatch uses cell.Capacity, which takes the methods over (IsExceeded, LacksAnyOf, Max, Minus, Plus beside Covers). The capacity of an executor is read by cell.CapacityOf everywhere.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		if g.adviceCache.allows(c.incarnation, now.BootTime) {
-			if c.free.covers(constraints.request) {
+			if c.free.Covers(constraints.request) {
 				return AdviceRequest{}, false
 			}
 			continue
@@ -103,7 +103,7 @@
 		return AdviceRequest{}, false
 	}
 	slices.SortStableFunc(unknown, func(x, y *candidate) int {
-		return cmp.Or(cmp.Compare(y.free.accelerators, x.free.accelerators), cmp.Compare(y.free.cpuMillis, x.free.cpuMillis))
+		return cmp.Or(cmp.Compare(y.free.Accelerators, x.free.Accelerators), cmp.Compare(y.free.CPUMillis, x.free.CPUMillis))
 	})
 	adviceRequest := AdviceRequest{
 		Step:  stepName(g),
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
@@ -33,22 +34,22 @@
 	for _, e := range p.executors {
 		if e.state != nil && now.BootTime-e.answeredAt < absentExecutorTime {
 			distinct[executorSize{
-				service:   e.state.GetService(),
-				resources: e.largest,
+				service:  e.state.GetService(),
+				capacity: e.largest,
 			}] = true
 		}
 	}
 	sorted := slices.SortedFunc(maps.Keys(distinct), func(x, y executorSize) int {
-		return cmp.Or(cmp.Compare(x.service, y.service), cmp.Compare(x.resources.accelerators, y.resources.accelerators),
-			cmp.Compare(x.resources.cpuMillis, y.resources.cpuMillis), cmp.Compare(x.resources.memoryMB, y.resources.memoryMB))
+		return cmp.Or(cmp.Compare(x.service, y.service), cmp.Compare(x.capacity.Accelerators, y.capacity.Accelerators),
+			cmp.Compare(x.capacity.CPUMillis, y.capacity.CPUMillis), cmp.Compare(x.capacity.MemoryMB, y.capacity.MemoryMB))
 	})
 	capacities := make([]*cellpb.Capacity, 0, len(sorted))
 	for _, s := range sorted {
 		capacities = append(capacities, &cellpb.Capacity{
 			Service:      s.service,
-			Cpu:          s.resources.cpuMillis,
-			MemoryMb:     s.resources.memoryMB,
-			Accelerators: s.resources.accelerators,
+			Cpu:          s.capacity.CPUMillis,
+			MemoryMb:     s.capacity.MemoryMB,
+			Accelerators: s.capacity.Accelerators,
 		})
 	}
 	return capacities
@@ -62,17 +63,17 @@
 
 // executorSize is the size of some executors of a service.
 type executorSize struct {
-	service   string
-	resources resources
+	service  string
+	capacity cell.Capacity
 }
 
 func sizeOf(capacity *cellpb.Capacity) executorSize {
 	return executorSize{
 		service: capacity.GetService(),
-		resources: resources{
-			cpuMillis:    capacity.GetCpu(),
-			memoryMB:     capacity.GetMemoryMb(),
-			accelerators: capacity.GetAccelerators(),
+		capacity: cell.Capacity{
+			CPUMillis:    capacity.GetCpu(),
+			MemoryMB:     capacity.GetMemoryMb(),
+			Accelerators: capacity.GetAccelerators(),
 		},
 	}
 }
--- a/dispatch/executor.go
+++ b/dispatch/executor.go
@@ -9,65 +9,18 @@
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
-// resources is an amount of executor resources, either requested by a task or available.
-type resources struct {
-	cpuMillis    int64
-	memoryMB     int64
-	accelerators int64
-}
-
 // requestedResources returns the resources that a task of a step requests. A step with fills set reserves no CPU.
-func requestedResources(step *cellpb.Step) resources {
+func requestedResources(step *cellpb.Step) cell.Capacity {
 	if step.GetFills() {
-		return resources{
-			memoryMB:     step.GetMemoryMb(),
-			accelerators: step.GetAccelerators(),
+		return cell.Capacity{
+			MemoryMB:     step.GetMemoryMb(),
+			Accelerators: step.GetAccelerators(),
 		}
 	}
-	return resources{
-		cpuMillis:    step.GetCpu(),
-		memoryMB:     step.GetMemoryMb(),
-		accelerators: step.GetAccelerators(),
-	}
-}
-
-func (r resources) covers(request resources) bool {
-	return r.cpuMillis >= request.cpuMillis && r.memoryMB >= request.memoryMB && r.accelerators >= request.accelerators
-}
-
-// isExceeded reports whether more of a resource is in use than there is.
-func (r resources) isExceeded() bool {
-	return r.cpuMillis < 0 || r.memoryMB < 0 || r.accelerators < 0
-}
-
-// lacksAnyOf reports whether a resource of which more is in use than there is is among the requested ones.
-func (r resources) lacksAnyOf(request resources) bool {
-	return (r.cpuMillis < 0 && request.cpuMillis > 0) || (r.memoryMB < 0 && request.memoryMB > 0) ||
-		(r.accelerators < 0 && request.accelerators > 0)
-}
-
-// maximum returns the greater amount of each resource.
-func (r resources) maximum(other resources) resources {
-	return resources{
-		cpuMillis:    max(r.cpuMillis, other.cpuMillis),
-		memoryMB:     max(r.memoryMB, other.memoryMB),
-		accelerators: max(r.accelerators, other.accelerators),
-	}
-}
-
-func (r resources) minus(request resources) resources {
-	return resources{
-		cpuMillis:    r.cpuMillis - request.cpuMillis,
-		memoryMB:     r.memoryMB - request.memoryMB,
-		accelerators: r.accelerators - request.accelerators,
-	}
-}
-
-func (r resources) plus(other resources) resources {
-	return resources{
-		cpuMillis:    r.cpuMillis + other.cpuMillis,
-		memoryMB:     r.memoryMB + other.memoryMB,
-		accelerators: r.accelerators + other.accelerators,
+	return cell.Capacity{
+		CPUMillis:    step.GetCpu(),
+		MemoryMB:     step.GetMemoryMb(),
+		Accelerators: step.GetAccelerators(),
 	}
 }
 
@@ -87,7 +40,7 @@
 	// generation is the lowest generation of the fences for requests to reportedIncarnation.
 	generation int64
 	// largest is the most of each resource that this incarnation has shown as its capacity.
-	largest resources
+	largest cell.Capacity
 	// reportedAt is when the agent last reported with this scheduler's epoch; epochConfirmed is set once it has.
 	reportedAt     time.Duration
 	epochConfirmed bool
@@ -160,12 +113,8 @@
 	return labels[len(labels)-1]
 }
 
-func (e *executor) capacity() resources {
-	return resources{
-		cpuMillis:    e.state.GetCpu(),
-		memoryMB:     e.state.GetMemoryMb(),
-		accelerators: e.state.GetAccelerators(),
-	}
+func (e *executor) capacity() cell.Capacity {
+	return cell.CapacityOf(e.state)
 }
 
 // clock is the reading of the executor's monotonic clock when the reported lists were read.
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -6,6 +6,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"radishpath.example/radishpath/cell"
 )
 
 // expectedEnd is the expected end of a run, which releases its resources.
@@ -42,10 +44,10 @@
 	ends := p.expectedEndsAt(snap, candidates, now)
 	packAfter := func(count int) assignment {
 		for _, c := range candidates {
-			c.expectedRelease = resources{}
+			c.expectedRelease = cell.Capacity{}
 		}
 		for _, end := range ends[:count] {
-			end.candidate.expectedRelease = end.candidate.expectedRelease.plus(requestedResources(end.run.task.group.step))
+			end.candidate.expectedRelease = end.candidate.expectedRelease.Plus(requestedResources(end.run.task.group.step))
 		}
 		return p.pack(snap, u, candidates, (*candidate).freeAfterEnds)
 	}
@@ -124,8 +126,8 @@
 }
 
 // freeAfterEnds returns the free resources of a candidate after the expected ends under consideration.
-func (c *candidate) freeAfterEnds() resources {
-	return c.free.plus(c.expectedRelease)
+func (c *candidate) freeAfterEnds() cell.Capacity {
+	return c.free.Plus(c.expectedRelease)
 }
 
 // maxLateShare is the share of its objective by which urgent work may be late and still preempt other work. Estimates
--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -93,8 +93,8 @@
 	for _, c := range snap.candidates {
 		if c.schedulable && c.state.GetService() == service {
 			candidates = append(candidates, c)
-			total += c.capacity().accelerators
-			free += max(c.free.accelerators, 0)
+			total += c.capacity().Accelerators
+			free += max(c.free.Accelerators, 0)
 		}
 	}
 	if float64(total-free) < minHeadroomUse*float64(total) {
@@ -102,14 +102,14 @@
 	}
 	target := min(p.headroom.target(service, now.BootTime), int64(maxHeadroomShare*float64(total)))
 	slices.SortFunc(candidates, func(x, y *candidate) int {
-		return cmp.Or(cmp.Compare(y.free.accelerators, x.free.accelerators), cmp.Compare(x.agent, y.agent))
+		return cmp.Or(cmp.Compare(y.free.Accelerators, x.free.Accelerators), cmp.Compare(x.agent, y.agent))
 	})
 	for _, c := range candidates {
 		if target <= 0 {
 			return
 		}
 		c.headroom = true
-		target -= c.free.accelerators
+		target -= c.free.Accelerators
 	}
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
@@ -12,9 +13,9 @@
 type assignment []*candidate
 
 // reserve subtracts the resources of one task from each chosen candidate.
-func (a assignment) reserve(request resources) {
+func (a assignment) reserve(request cell.Capacity) {
 	for _, c := range a {
-		c.free = c.free.minus(request)
+		c.free = c.free.Minus(request)
 	}
 }
 
@@ -144,7 +145,7 @@
 // pack assigns each task by best fit, to the candidate left with the fewest free resources. It returns nil unless all
 // tasks fit.
 func (p *Planner) pack(
-	snap *cellSnapshot, u *schedulingUnit, candidates []*candidate, freeOf func(c *candidate) resources,
+	snap *cellSnapshot, u *schedulingUnit, candidates []*candidate, freeOf func(c *candidate) cell.Capacity,
 ) assignment {
 	request := requestedResources(u.group.step)
 	for _, c := range candidates {
@@ -157,7 +158,7 @@
 		if best == nil {
 			return nil
 		}
-		best.available = best.available.minus(request)
+		best.available = best.available.Minus(request)
 		if tasksByAgent != nil {
 			tasksByAgent[best.agent]++
 		}
@@ -166,16 +167,16 @@
 	return chosen
 }
 
-func freeNow(c *candidate) resources {
+func freeNow(c *candidate) cell.Capacity {
 	return c.free
 }
 
 func (snap *cellSnapshot) bestCandidate(
-	candidates []*candidate, request resources, t *task, tasksByAgent map[string]int,
+	candidates []*candidate, request cell.Capacity, t *task, tasksByAgent map[string]int,
 ) *candidate {
 	var best *candidate
 	for _, c := range candidates {
-		if !c.available.covers(request) || spreadExhausted(t.group.step, tasksByAgent[c.agent]) ||
+		if !c.available.Covers(request) || spreadExhausted(t.group.step, tasksByAgent[c.agent]) ||
 			!snap.allowsTask(c, t, tasksByAgent) {
 			continue
 		}
@@ -198,10 +199,10 @@
 	if order := cmp.Compare(len(x.health.failedTasks), len(y.health.failedTasks)); order != 0 {
 		return order
 	}
-	if order := cmp.Compare(x.available.accelerators, y.available.accelerators); order != 0 {
+	if order := cmp.Compare(x.available.Accelerators, y.available.Accelerators); order != 0 {
 		return order
 	}
-	if order := cmp.Compare(x.available.cpuMillis, y.available.cpuMillis); order != 0 {
+	if order := cmp.Compare(x.available.CPUMillis, y.available.CPUMillis); order != 0 {
 		return order
 	}
 	return cmp.Compare(x.agent, y.agent)
@@ -235,7 +236,7 @@
 	request := requestedResources(u.group.step)
 	for i, t := range u.tasks {
 		c := chosen[i]
-		c.free = c.free.minus(request)
+		c.free = c.free.Minus(request)
 		c.idle = false
 		c.noteRun(t)
 		t.runNumber = runNumber + 1
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"radishpath.example/radishpath/cell"
 )
 
 // preemptionPlan holds the runs to preempt so that a unit can be placed, and where to place it.
@@ -64,9 +66,9 @@
 ) *preemptionPlan {
 	plan := &preemptionPlan{}
 	request := requestedResources(u.group.step)
-	available := map[*candidate]resources{}
+	available := map[*candidate]cell.Capacity{}
 	for _, c := range snap.candidates {
-		available[c] = c.free.plus(c.releasing)
+		available[c] = c.free.Plus(c.releasing)
 	}
 	stopped := map[*taskRun]bool{}
 	tasksByAgent := snap.countTasksByAgent(u.group)
@@ -78,12 +80,12 @@
 		for _, run := range preemptions {
 			stopped[run] = true
 			if holder, ok := snap.byIncarnation[run.incarnation]; ok {
-				available[holder] = available[holder].plus(requestedResources(run.task.group.step))
+				available[holder] = available[holder].Plus(requestedResources(run.task.group.step))
 			}
 		}
 		plan.preemptions = append(plan.preemptions, preemptions...)
 		plan.cost += p.cost(preemptions, now)
-		available[c] = available[c].minus(request)
+		available[c] = available[c].Minus(request)
 		if tasksByAgent != nil {
 			tasksByAgent[c.agent]++
 		}
@@ -93,7 +95,7 @@
 }
 
 func (p *Planner) cheapestCandidate(
-	snap *cellSnapshot, u *schedulingUnit, t *task, candidates []*candidate, available map[*candidate]resources,
+	snap *cellSnapshot, u *schedulingUnit, t *task, candidates []*candidate, available map[*candidate]cell.Capacity,
 	stopped map[*taskRun]bool, tasksByAgent map[string]int,
 	now Instant,
 ) (*candidate, []*taskRun) {
@@ -110,7 +112,7 @@
 		better := best == nil || cmp.Or(
 			cmp.Compare(p.cost(preemptions, now), p.cost(bestPreemptions, now)),
 			cmp.Compare(len(preemptions), len(bestPreemptions)),
-			cmp.Compare(available[c].accelerators, available[best].accelerators),
+			cmp.Compare(available[c].Accelerators, available[best].Accelerators),
 		) < 0
 		if better {
 			best, bestPreemptions = c, preemptions
@@ -121,10 +123,10 @@
 
 // preemptionsAt returns the runs to preempt on a candidate so that one task fits, chosen in order of cost.
 func (p *Planner) preemptionsAt(
-	snap *cellSnapshot, c *candidate, u *schedulingUnit, available resources, stopped map[*taskRun]bool, now Instant,
+	snap *cellSnapshot, c *candidate, u *schedulingUnit, available cell.Capacity, stopped map[*taskRun]bool, now Instant,
 ) ([]*taskRun, bool) {
 	request := requestedResources(u.group.step)
-	if available.covers(request) {
+	if available.Covers(request) {
 		return nil, true
 	}
 	var preemptible []*taskRun
@@ -141,7 +143,7 @@
 	})
 	chosen := map[*taskRun]bool{}
 	for _, run := range preemptible {
-		if available.covers(request) {
+		if available.Covers(request) {
 			break
 		}
 		if chosen[run] {
@@ -152,13 +154,13 @@
 				chosen[victim] = true
 			}
 			if victim.incarnation == c.incarnation {
-				available = available.plus(requestedResources(victim.task.group.step))
+				available = available.Plus(requestedResources(victim.task.group.step))
 			}
 		}
 	}
 	return slices.SortedFunc(maps.Keys(chosen), func(x, y *taskRun) int {
 		return compareTasks(x.task, y.task)
-	}), available.covers(request)
+	}), available.Covers(request)
 }
 
 // isPreemptible reports whether a run may be stopped for a unit. A run of priority 0 may be stopped only for guaranteed
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -72,7 +72,7 @@
 	}
 	e.state = report.GetExecutor()
 	if !isNew {
-		e.largest = e.largest.maximum(e.capacity())
+		e.largest = e.largest.Max(e.capacity())
 		e.forgetLapsed()
 		return
 	}
--- a/dispatch/runhealth.go
+++ b/dispatch/runhealth.go
@@ -160,7 +160,7 @@
 			}
 			if chosen := p.migrationTarget(snap, t, now); chosen != nil {
 				p.config.Log("migrating run from slow executor", "task", t.id.String(), "agent", c.agent, "to", chosen.agent)
-				chosen.free = chosen.free.minus(requestedResources(t.group.step))
+				chosen.free = chosen.free.Minus(requestedResources(t.group.step))
 				t.migrated = true
 				t.lastFailedAgent = c.agent
 				p.stopRun(run, reasonSlow, now)
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
@@ -13,13 +14,13 @@
 type candidate struct {
 	*executor
 	// free holds the resources that no run occupies and that aren't reserved in this pass.
-	free resources
+	free cell.Capacity
 	// releasing holds the resources of runs that are being stopped, expectedRelease those of runs that are assumed to
 	// have ended when the expected fit of a unit is computed.
-	releasing       resources
-	expectedRelease resources
+	releasing       cell.Capacity
+	expectedRelease cell.Capacity
 	// available is used while a unit is packed: what is left beside the unit's tasks packed so far.
-	available resources
+	available cell.Capacity
 	// included marks the candidates under consideration in expectedEndsAt.
 	included bool
 	// schedulable candidates accept new work now.
@@ -144,11 +145,11 @@
 			continue
 		}
 		request := requestedResources(run.task.group.step)
-		c.free = c.free.minus(request)
+		c.free = c.free.Minus(request)
 		p.clearSurvivor(c, run)
 		c.noteRun(run.task)
 		if run.stopping {
-			c.releasing = c.releasing.plus(request)
+			c.releasing = c.releasing.Plus(request)
 		}
 	}
 }
@@ -164,8 +165,8 @@
 			continue
 		}
 		request := requestedResources(t.group.step)
-		c.free = c.free.minus(request)
-		c.releasing = c.releasing.plus(request)
+		c.free = c.free.Minus(request)
+		c.releasing = c.releasing.Plus(request)
 	}
 }
 
@@ -200,7 +201,7 @@
 // satisfies reports whether an executor can ever run a step with the given constraints.
 func (e *executor) satisfies(constraints placementConstraints) bool {
 	return e.state.GetService() == constraints.service && e.hasLabel(constraints.requiredLabel) &&
-		e.capacity().covers(constraints.request)
+		e.capacity().Covers(constraints.request)
 }
 
 // placementConstraints holds what determines the candidates of a group.
@@ -208,7 +209,7 @@
 	service       string
 	requiredLabel string
 	rack          string
-	request       resources
+	request       cell.Capacity
 	// adviceGroup is the group itself if its queue needs advice.
 	adviceGroup *group
 }
--- a/dispatch/withdraw.go
+++ b/dispatch/withdraw.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"radishpath.example/radishpath/cell"
 )
 
 // reasonCapacity is the reason for stopping a run that may not have begun and for which its executor has no room.
@@ -14,7 +16,7 @@
 // end. The starts of the least urgent work are withdrawn first, and of equals the newest.
 func (p *Planner) withdrawExcessStarts(snap *cellSnapshot, now Instant) {
 	for _, c := range snap.candidates {
-		if !c.free.isExceeded() {
+		if !c.free.IsExceeded() {
 			continue
 		}
 		remaining, unconfirmed := p.unconfirmedStarts(c)
@@ -29,12 +31,12 @@
 		for _, onlyLacking := range []bool{true, false} {
 			for _, run := range unconfirmed {
 				withdrawn := run.stopping || run.task.run != run
-				if withdrawn || !remaining.isExceeded() ||
-					(onlyLacking && !remaining.lacksAnyOf(requestedResources(run.task.group.step))) {
+				if withdrawn || !remaining.IsExceeded() ||
+					(onlyLacking && !remaining.LacksAnyOf(requestedResources(run.task.group.step))) {
 					continue
 				}
 				for _, victim := range victims(run) {
-					remaining = remaining.plus(p.withdrawStart(c, victim, now))
+					remaining = remaining.Plus(p.withdrawStart(c, victim, now))
 				}
 			}
 		}
@@ -43,29 +45,29 @@
 
 // withdrawStart stops a run, which is the withdrawn one or another member of its gang, and returns the resources that
 // its start doesn't occupy on the candidate any more.
-func (p *Planner) withdrawStart(c *candidate, run *taskRun, now Instant) resources {
+func (p *Planner) withdrawStart(c *candidate, run *taskRun, now Instant) cell.Capacity {
 	request := requestedResources(run.task.group.step)
 	unconfirmed := run.incarnation == c.incarnation && !run.running
 	if unconfirmed && !run.sent {
-		c.free = c.free.plus(request)
+		c.free = c.free.Plus(request)
 	}
 	p.stopRun(run, reasonCapacity, now)
 	if !unconfirmed {
-		return resources{}
+		return cell.Capacity{}
 	}
 	return request
 }
 
 // unconfirmedStarts returns the runs on a candidate that it hasn't listed, and what is free once those of them that are
 // being stopped are gone.
-func (p *Planner) unconfirmedStarts(c *candidate) (resources, []*taskRun) {
+func (p *Planner) unconfirmedStarts(c *candidate) (cell.Capacity, []*taskRun) {
 	remaining := c.free
 	var unconfirmed []*taskRun
 	for run := range p.runsByAgent[c.agent] {
 		switch {
 		case run.incarnation != c.incarnation || run.running:
 		case run.stopping:
-			remaining = remaining.plus(requestedResources(run.task.group.step))
+			remaining = remaining.Plus(requestedResources(run.task.group.step))
 		default:
 			unconfirmed = append(unconfirmed, run)
 		}
