dispatch: count the crashes of a task in one function

Cause: countBlamed and earlyBlamed had the same loop with another condition.

Change: countCrashes takes the condition, a method of taskCrash.

--- a/dispatch/crashhistory.go
+++ b/dispatch/crashhistory.go
@@ -73,7 +73,7 @@
 
 // blamed returns the number of crashes that the task may have caused.
 func (h crashHistory) blamed() int {
-	return countBlamed(h.crashes)
+	return countCrashes(h.crashes, taskCrash.isBlamed)
 }
 
 // crashedOn reports whether an executor of an agent crashed under the task.
@@ -88,27 +88,15 @@
 	return len(h.crashes) == 0
 }
 
-// earlyBlamed returns the number of crashes that the task may have caused soon after its start. Runs that have gone on
-// for longer may meet the crashes of several machines.
-func (h crashHistory) earlyBlamed() int {
-	count := 0
-	for _, crashed := range h.crashes {
-		if crashed.blamed && crashed.age <= maxIsolation {
-			count++
-		}
-	}
-	return count
-}
-
 // guilty reports whether the task is to be given up after the last crash. alone tells whether only the task's job had
 // runs on that executor. Ages of runs are known with a precision. Fewer than maxCrashes on one machine may be the fault
 // of that machine.
 func (h crashHistory) guilty(alone bool, precision time.Duration) bool {
 	alike := h.alike(precision)
-	if len(alike) >= maxCrashes || h.earlyBlamed() >= maxCrashes {
+	if len(alike) >= maxCrashes || countCrashes(h.crashes, taskCrash.isBlamedEarly) >= maxCrashes {
 		return true
 	}
-	return alone && countBlamed(alike) >= minCrashes && onSeveralAgents(alike)
+	return alone && countCrashes(alike, taskCrash.isBlamed) >= minCrashes && onSeveralAgents(alike)
 }
 
 // longest returns the greatest age of a run at a crash. A run of unknown age may have lasted for maxIsolation.
--- a/dispatch/taskcrash.go
+++ b/dispatch/taskcrash.go
@@ -28,6 +28,17 @@
 	}
 }
 
+// isBlamed reports whether the task may have caused the crash.
+func (c taskCrash) isBlamed() bool {
+	return c.blamed
+}
+
+// isBlamedEarly reports whether the task may have caused the crash soon after its start. Runs that have gone on for
+// longer may meet the crashes of several machines.
+func (c taskCrash) isBlamedEarly() bool {
+	return c.blamed && c.age <= maxIsolation
+}
+
 func (c taskCrash) record() *cellpb.Crash {
 	return &cellpb.Crash{
 		Agent:  c.agent,
@@ -47,10 +58,11 @@
 	return len(agents) > 1
 }
 
-func countBlamed(crashes []taskCrash) int {
+// countCrashes returns the number of crashes that are to be counted.
+func countCrashes(crashes []taskCrash, counted func(crashed taskCrash) bool) int {
 	count := 0
 	for _, crashed := range crashes {
-		if crashed.blamed {
+		if counted(crashed) {
 			count++
 		}
 	}
