dispatch: call executors with failed or slow runs unreliable

Cause: "suspect" stood for tasks that may have crashed an executor and for executors whose last runs failed or are slow.

TestGangIsPlacedOnSuspectExecutor- AfterAWait is TestGangIsPlacedOnUnreliableExecutorAfterAWait. Stored names stay, and platform.md and OPERATIONS.md use the word for tasks only.

--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -140,13 +140,13 @@
 // one where it failed, don't help it. Otherwise it waits for ever beside idle executors.
 func TestFailedTaskIsPlacedWithoutHealthyAlternative(t *testing.T) {
 	tests := []struct {
-		name    string
-		suspect []string
-		other   string
+		name       string
+		unreliable []string
+		other      string
 	}{
-		{name: "all executors of the service are suspect", suspect: []string{"agent-1", "agent-2"}, other: "kitchen"},
-		{name: "the only healthy one is where it failed", suspect: []string{"agent-2"}, other: "kitchen"},
-		{name: "another executor of the service is healthy", suspect: []string{"agent-1", "agent-2"}, other: "desk"},
+		{name: "all executors of the service are unreliable", unreliable: []string{"agent-1", "agent-2"}, other: "kitchen"},
+		{name: "the only healthy one is where it failed", unreliable: []string{"agent-2"}, other: "kitchen"},
+		{name: "another executor of the service is healthy", unreliable: []string{"agent-1", "agent-2"}, other: "desk"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -159,7 +159,7 @@
 			failed := h.planner.findTask(testJobID + ".0.0.0")
 			failed.failures = 1
 			failed.lastFailedAgent = "agent-1"
-			for _, agent := range test.suspect {
+			for _, agent := range test.unreliable {
 				h.planner.executors[agent].health.failedTasks = map[*task]bool{{}: true}
 			}
 			h.planAndCommit()
@@ -171,9 +171,9 @@
 	}
 }
 
-// The healthy executors may never suffice for a gang. It must not wait for ever for one that is suspect, since that
+// The healthy executors may never suffice for a gang. It must not wait for ever for one that is unreliable, since that
 // executor stays so without work.
-func TestGangIsPlacedOnSuspectExecutorAfterAWait(t *testing.T) {
+func TestGangIsPlacedOnUnreliableExecutorAfterAWait(t *testing.T) {
 	h := newHarness(t)
 	h.report("agent-1", "r1", nil)
 	h.report("agent-2", "r1", nil)
@@ -181,7 +181,7 @@
 	h.submit(twoMemberGangJob(testJobID, "renders", "schools", 8))
 	h.planAndCommit()
 	require.Equal(t, []string{"", ""}, h.taskAgents(0))
-	h.advance(suspectAvoidance + time.Millisecond)
+	h.advance(unreliableAvoidance + time.Millisecond)
 	h.report("agent-1", "r1", nil)
 	h.report("agent-2", "r1", nil)
 	h.planAndCommit()
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -215,7 +215,7 @@
 
 // countTasksByAgent counts the group's current runs by agent. It returns nil if no placement depends on the counts.
 func (snap *cellSnapshot) countTasksByAgent(g *group) map[string]int {
-	if g.step.GetSpread() == 0 && !snap.hasSuspects {
+	if g.step.GetSpread() == 0 && !snap.hasUnreliable {
 		return nil
 	}
 	counts := map[string]int{}
--- a/dispatch/runhealth.go
+++ b/dispatch/runhealth.go
@@ -22,9 +22,9 @@
 	minTypicalRuns = 3
 	// completePercent is the progress of a run that has finished its own part.
 	completePercent = 100
-	// suspectAvoidance is how long a task waits at most for healthy candidates. They may never suffice for its gang,
-	// and an executor without work stays suspect.
-	suspectAvoidance = failureCooldown
+	// unreliableAvoidance is how long a task waits at most for healthy candidates. They may never suffice for its gang,
+	// and an executor without work stays unreliable.
+	unreliableAvoidance = failureCooldown
 	// minMigrationGain is the factor by which a migration must be expected to shorten a run's remaining time.
 	minMigrationGain = 2
 )
@@ -174,7 +174,7 @@
 	u := p.newUnit(t.group, snap.demand, now)
 	u.tasks = []*task{t}
 	for _, candidates := range p.placementOptions(p.racks(snap, t.group), u) {
-		healthy := slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.suspect() })
+		healthy := slices.DeleteFunc(slices.Clone(candidates), func(c *candidate) bool { return c.unreliable() })
 		if chosen := p.pack(snap, u, healthy, freeNow); chosen != nil {
 			return chosen[0]
 		}
@@ -197,16 +197,16 @@
 	return filtered
 }
 
-// allowsTask reports whether a candidate may take a task. A suspect candidate is probed with one new task at a time: if
-// its runs fail quickly, it would otherwise be free again at once and attract all pending work. As long as there are
-// healthy candidates that can run it, gangs and tasks that failed before are placed only on those, and no task on its
-// lastFailedAgent, for suspectAvoidance.
+// allowsTask reports whether a candidate may take a task. An unreliable candidate is probed with one new task at a
+// time: if its runs fail quickly, it would otherwise be free again at once and attract all pending work. As long as
+// there are healthy candidates that can run it, gangs and tasks that failed before are placed only on those, and no
+// task on its lastFailedAgent, for unreliableAvoidance.
 func (snap *cellSnapshot) allowsTask(c *candidate, t *task, tasksByAgent map[string]int) bool {
 	if !snap.allowsCompany(c, t) {
 		return false
 	}
-	if (c.agent != t.lastFailedAgent && !c.suspect()) || !snap.hasHealthyAlternative(t) ||
-		snap.now-t.waitingSince() > suspectAvoidance {
+	if (c.agent != t.lastFailedAgent && !c.unreliable()) || !snap.hasHealthyAlternative(t) ||
+		snap.now-t.waitingSince() > unreliableAvoidance {
 		return true
 	}
 	if c.agent == t.lastFailedAgent || t.failures > 0 || t.group.failures > 0 || t.group.step.GetGang() {
@@ -224,7 +224,7 @@
 	return slices.ContainsFunc(snap.healthy, func(agent string) bool { return agent != t.lastFailedAgent })
 }
 
-// suspect reports whether the executor's last runs failed or its runs are slow.
-func (c *candidate) suspect() bool {
+// unreliable reports whether the executor's last runs failed or its runs are slow.
+func (c *candidate) unreliable() bool {
 	return len(c.health.failedTasks) > 0 || c.slow
 }
--- a/dispatch/runhealth_test.go
+++ b/dispatch/runhealth_test.go
@@ -41,7 +41,7 @@
 			placed++
 		}
 	}
-	require.Equal(t, 1, placed, "a suspect executor is probed with one new task at a time")
+	require.Equal(t, 1, placed, "an unreliable executor is probed with one new task at a time")
 }
 
 // A faulty task fails on one executor after the other. The executors must not be considered unhealthy.
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -59,12 +59,12 @@
 	// racks returns the schedulable candidates for a group.
 	racks func(g *group) rackedCandidates
 	// healthy holds the agents of the healthy candidates for healthyFor, the group that is being placed. It is read for
-	// each suspect candidate and task.
+	// each unreliable candidate and task.
 	healthy    []string
 	healthyFor *group
-	// hasSuspects and hasRecentFailures report whether there are suspect candidates and candidates on which a run
+	// hasUnreliable and hasRecentFailures report whether there are unreliable candidates and candidates on which a run
 	// failed recently.
-	hasSuspects       bool
+	hasUnreliable     bool
 	hasRecentFailures bool
 	// notFitting holds, for constraints, the smallest number of tasks that didn't fit in this pass. Free resources
 	// never grow during a pass, so a later unit of as many tasks doesn't fit either.
@@ -81,7 +81,7 @@
 }
 
 // rackedCandidates holds the candidates for some constraints: by rack, and all of them in the same order. healthy holds
-// the agents of those that are not suspect.
+// the agents of those that aren't unreliable.
 type rackedCandidates struct {
 	racks   [][]*candidate
 	all     []*candidate
@@ -132,7 +132,7 @@
 	for _, c := range snap.candidates {
 		c.failedRecently = c.health.failedRecently(now.BootTime)
 		snap.hasRecentFailures = snap.hasRecentFailures || c.failedRecently
-		snap.hasSuspects = snap.hasSuspects || c.suspect()
+		snap.hasUnreliable = snap.hasUnreliable || c.unreliable()
 	}
 	return snap
 }
@@ -222,7 +222,7 @@
 		racks.racks = snap.groupByRack(constraints)
 		racks.all = slices.Concat(racks.racks...)
 		for _, c := range racks.all {
-			if !c.suspect() {
+			if !c.unreliable() {
 				racks.healthy = append(racks.healthy, c.agent)
 			}
 		}
--- a/dispatch/snapshot_test.go
+++ b/dispatch/snapshot_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against units that are skipped as not fitting although they fit: the pass would leave room unused. The random
-// cells hold gangs and single tasks with racks, spread limits, failed attempts and suspect executors.
+// cells hold gangs and single tasks with racks, spread limits, failed attempts and unreliable executors.
 func TestSkippedUnitsDoNotFit(t *testing.T) {
 	for seed := range uint64(400) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
