agent: build two more test controllers with newTestController

Cause: TestReportTellsSilenceOfExecutor and TestHoldAfterFailureDropsNoEnds built the same controller as newTestController by hand.

Change: they use it; each assertion stays as it was. In the first test the controller has switched to the incarnation before the hold loop begins, which is what the loop does first.

--- a/agent/generation_test.go
+++ b/agent/generation_test.go
@@ -151,26 +151,18 @@
 func TestHoldAfterFailureDropsNoEnds(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	var recordedEnds []int64
-	c := New(Config{
-		ID:       "agent-1",
-		Logger:   hclog.NewNullLogger(),
-		Clock:    clockwork.NewRealClock(),
-		BootTime: boottime.NewClock(),
-		Executor: ExecutorClient{
-			Hold: func(_ context.Context, hold cell.Hold) (cell.Inventory, error) {
-				recordedEnds = append(recordedEnds, hold.RecordedEnd)
-				if len(recordedEnds) == 1 {
-					return cell.Inventory{}, cell.ErrOutcomeUnknown
-				}
-				if len(recordedEnds) == 3 {
-					cancel()
-				}
-				return cell.Inventory{Born: 1}, nil
-			},
+	c := newTestController(ExecutorClient{
+		Hold: func(_ context.Context, hold cell.Hold) (cell.Inventory, error) {
+			recordedEnds = append(recordedEnds, hold.RecordedEnd)
+			if len(recordedEnds) == 1 {
+				return cell.Inventory{}, cell.ErrOutcomeUnknown
+			}
+			if len(recordedEnds) == 3 {
+				cancel()
+			}
+			return cell.Inventory{Born: 1}, nil
 		},
 	})
-	c.HandleHeartbeat(cell.Heartbeat{Executor: &cellpb.Executor{Id: "i-1", Born: 1}, Sequence: 1})
-	c.switchIncarnation()
 	c.incarnation.recordedEnd = 48
 	c.holdLoop(ctx)
 	require.Equal(t, []int64{48, 0, 48}, recordedEnds)
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -7,11 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"radishpath.example/radishpath/boottime"
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 )
@@ -319,29 +316,21 @@
 func TestReportTellsSilenceOfExecutor(t *testing.T) {
 	holdErr, failures := errors.New("no response"), 0
 	ctx, cancel := context.WithCancel(t.Context())
-	clock := clockwork.NewRealClock()
 	var c *Controller
-	c = New(Config{
-		ID:       "agent-1",
-		Logger:   hclog.NewNullLogger(),
-		Clock:    clock,
-		BootTime: boottime.NewClock(),
-		Executor: ExecutorClient{
-			Hold: func(context.Context, cell.Hold) (cell.Inventory, error) {
-				report, _ := c.report(false)
-				switch {
-				case holdErr != nil && report.GetExecutor().GetSilent():
-					require.Equal(t, silentAfterFailures, failures)
-					holdErr = nil
-				case holdErr == nil && !report.GetExecutor().GetSilent():
-					cancel()
-				}
-				failures++
-				return cell.Inventory{Born: 1, Clock: time.Second}, holdErr
-			},
+	c = newTestController(ExecutorClient{
+		Hold: func(context.Context, cell.Hold) (cell.Inventory, error) {
+			report, _ := c.report(false)
+			switch {
+			case holdErr != nil && report.GetExecutor().GetSilent():
+				require.Equal(t, silentAfterFailures, failures)
+				holdErr = nil
+			case holdErr == nil && !report.GetExecutor().GetSilent():
+				cancel()
+			}
+			failures++
+			return cell.Inventory{Born: 1, Clock: time.Second}, holdErr
 		},
 	})
-	c.HandleHeartbeat(cell.Heartbeat{Executor: &cellpb.Executor{Id: "i-1", Born: 1}, Sequence: 1})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -349,7 +338,7 @@
 	}()
 	select {
 	case <-done:
-	case <-clock.After(20 * time.Second):
+	case <-c.config.Clock.After(20 * time.Second):
 		require.Fail(t, "the reports don't tell when the executor is silent and when it answers again")
 	}
 }
