cell: apply a record only under its own key and within its ranges

Callers would see: no scheduler in the cell for good, and so no job that starts, after another writer left one record in the cell's log that holds a claim with a large epoch, under any key. Entries called each other at addresses that can't be dialed, and a progress record with an unknown state left its job neither running nor ended.

Cause: State.Apply chose by the kind of the body and ignored the key, the id in the body and all ranges but those of jobs. A claim counted with any epoch above the current one, although a scheduler draws its epoch from the range of the offset at which it claims, so that no later claim could exceed it.

Evidence: TestOddRecordChangesNothing on the old code (with the constant EpochsPerOffset in place) failed in 31 of its 40 cases, such as --- FAIL: TestOddRecordChangesNothing/claim_under_a_member's_key --- FAIL: TestOddRecordChangesNothing/claim_of_an_epoch_that_overflows --- FAIL: TestOddRecordChangesNothing/member_with_port_0 --- FAIL: TestOddRecordChangesNothing/job_of_another_id --- FAIL: TestOddRecordChangesNothing/progress_with_an_unknown_state and TestDeletedMemberIsForgotten failed as well. Deep nesting (50,000 and a million groups), truncated bytes and numbers beyond 64 bits were rejected before, too.

Change: a record has to be of the kind, and name the id, of its key; claims, members and progress have ranges; a claim's epoch must be one of its offset or an earlier one. A deleted member is forgotten.

After: all cases pass. An odd claim within its offset's range can only replace the scheduler until the next claim, whose range lies above.

--- a/cell/state.go
+++ b/cell/state.go
@@ -103,41 +103,24 @@
 }
 
 // Apply applies an entry to the state and returns the id of the job that it concerns, if any. An entry that can't be
-// decoded changes nothing.
+// decoded, or that doesn't belong under its key, changes nothing.
 func (s *State) Apply(entry Entry) (string, error) {
-	prefix, id, _ := strings.Cut(entry.Key, "/")
+	if entry.Key == "" {
+		return "", fmt.Errorf("record at offset %d: no key", entry.Offset)
+	}
+	prefix, id := splitKey(entry.Key)
 	if len(entry.Value) == 0 {
-		s.deleteKey(prefix+"/", id)
+		s.deleteKey(prefix, id)
 		return id, nil
 	}
 	record := &cellpb.Record{}
 	if err := proto.Unmarshal(entry.Value, record); err != nil {
-		return "", fmt.Errorf("decode record %s at offset %d: %w", entry.Key, entry.Offset, err)
+		return "", fmt.Errorf("decode record %q at offset %d: %w", entry.Key, entry.Offset, err)
 	}
-	switch body := record.GetBody().(type) {
-	case *cellpb.Record_Claim:
-		if body.Claim.GetEpoch() >= s.claim.GetEpoch() {
-			s.claim = body.Claim
-		}
-		return "", nil
-	case *cellpb.Record_Member:
-		s.members[id] = body.Member.GetAddress()
-		return "", nil
-	case *cellpb.Record_Job:
-		if err := ValidateJob(body.Job); err != nil {
-			return "", fmt.Errorf("record %s at offset %d: %w", entry.Key, entry.Offset, err)
-		}
-		if jobState := s.getOrCreateJob(id); jobState.Job == nil {
-			jobState.Job = body.Job
-		}
-	case *cellpb.Record_Cancel:
-		s.getOrCreateJob(id).Cancelled = true
-	case *cellpb.Record_Progress:
-		s.getOrCreateJob(id).Progress = body.Progress
-	default:
-		return "", fmt.Errorf("record %s at offset %d: unknown record type", entry.Key, entry.Offset)
+	if err := validateRecord(entry, record); err != nil {
+		return "", fmt.Errorf("record %q at offset %d: %w", entry.Key, entry.Offset, err)
 	}
-	return id, nil
+	return s.applyRecord(id, record), nil
 }
 
 // Claim returns the claim with the highest epoch.
@@ -181,7 +164,34 @@
 	return count
 }
 
+// applyRecord applies a valid record and returns the id of the job that it concerns, if any.
+func (s *State) applyRecord(id string, record *cellpb.Record) string {
+	switch body := record.GetBody().(type) {
+	case *cellpb.Record_Claim:
+		if body.Claim.GetEpoch() >= s.claim.GetEpoch() {
+			s.claim = body.Claim
+		}
+		return ""
+	case *cellpb.Record_Member:
+		s.members[id] = body.Member.GetAddress()
+		return ""
+	case *cellpb.Record_Job:
+		if jobState := s.getOrCreateJob(id); jobState.Job == nil {
+			jobState.Job = body.Job
+		}
+	case *cellpb.Record_Cancel:
+		s.getOrCreateJob(id).Cancelled = true
+	case *cellpb.Record_Progress:
+		s.getOrCreateJob(id).Progress = body.Progress
+	}
+	return id
+}
+
 func (s *State) deleteKey(prefix, id string) {
+	if prefix == memberPrefix {
+		delete(s.members, id)
+		return
+	}
 	jobState, ok := s.jobs[id]
 	if !ok {
 		return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -13,10 +13,6 @@
 	"radishpath.example/radishpath/recovery"
 )
 
-// epochsPerOffset is the size of the range from which a claim at one log offset draws a random epoch, so that
-// concurrent claims rarely have the same epoch.
-const epochsPerOffset = 1000
-
 // Scheduler claims the leadership of a cell and schedules the cell's jobs while it is the leader.
 type Scheduler struct {
 	config Config
@@ -93,7 +89,7 @@
 	}
 	logEnd := s.config.NextOffset()
 	newClaim := &cellpb.Claim{
-		Epoch:   (logEnd+1)*epochsPerOffset + rand.Int64N(epochsPerOffset),
+		Epoch:   cell.FirstEpoch(logEnd) + rand.Int64N(cell.EpochsPerOffset),
 		Holder:  s.config.Holder,
 		Address: s.config.Address,
 		// The sizes that the former leader published hold until this one has heard of the executors.
