platform: read past odd records among the newest ones

Callers would see: an entry that never becomes ready after a restart, or that stays behind for good once the store has dropped old records, because one item among the newest records has a value that isn't base64 or an offset that isn't an integer.

One that can't be decoded is passed on as an entry with an error, which the readers report and skip.

--- a/cell/log.go
+++ b/cell/log.go
@@ -10,6 +10,8 @@
 	Key    string
 	Value  []byte
 	Offset int64
+	// Err says why the record couldn't be decoded; nil if it could. Its other fields hold what is known of it.
+	Err error
 }
 
 // Page is the result of one read.
--- a/cell/state.go
+++ b/cell/state.go
@@ -105,6 +105,9 @@
 // Apply applies an entry to the state and returns the id of the job that it concerns, if any. An entry that can't be
 // decoded, or that doesn't belong under its key, changes nothing.
 func (s *State) Apply(entry Entry) (string, error) {
+	if entry.Err != nil {
+		return "", fmt.Errorf("record %q at offset %d: %w", entry.Key, entry.Offset, entry.Err)
+	}
 	if entry.Key == "" {
 		return "", fmt.Errorf("record at offset %d: no key", entry.Offset)
 	}
