mirror: report an odd record once, and survive a decoder that panics

Operators would see: the same warning with every reload of a log, without a counter; and an entry that ends, starts again and ends at the same record, should a decoder ever panic at one. No record that does so is known.

Cause: the followers' goroutines had no recovery, and the warning was written whenever the record was read.

After: the tests pass; what comes after the record is applied.

--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -70,6 +70,7 @@
 		mirror: mirror.New(mirror.Config{
 			Logger:     process.logger,
 			BootTime:   bootClock,
+			Metrics:    process.metrics.Scope,
 			ApplyEntry: platform.ApplyOperation,
 		}),
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -11,20 +11,34 @@
 package mirror
 
 import (
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
 
 	"radishpath.example/radishpath/boottime"
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/recovery"
 )
 
+// Names of the logs in log lines and metrics.
+const (
+	cellLogName       = "cell"
+	operationsLogName = "operations"
+)
+
+// maxErrorText bounds the text of an error in a log line, which may quote the record.
+const maxErrorText = 300
+
 // Config configures a Mirror.
 type Config struct {
 	Logger   hclog.Logger
 	BootTime boottime.Clock
+	// Metrics counts invalid records; nil means no metrics.
+	Metrics tally.Scope
 	// ApplyEntry applies an entry of the operators' log.
 	ApplyEntry func(operations cell.Operations, entry cell.Entry) (cell.Operations, error)
 }
@@ -39,16 +53,25 @@
 	peerClaim *cellpb.Claim
 	// schedulerSeenAt is when the newest record of the scheduler was read, or when the cell's log was last reloaded.
 	schedulerSeenAt time.Duration
-	changedJobs     map[string]bool
+	// reported holds the invalid records that were reported, by the name of their log.
+	reported    map[string]reportedOffsets
+	changedJobs map[string]bool
 	// changeSignal holds a value while there are changes of which the receiver hasn't been notified.
 	changeSignal chan struct{}
 }
 
 // New returns an empty mirror.
 func New(config Config) *Mirror {
+	if config.Metrics == nil {
+		config.Metrics = tally.NoopScope
+	}
 	return &Mirror{
-		config:       config,
-		state:        cell.NewState(),
+		config: config,
+		state:  cell.NewState(),
+		reported: map[string]reportedOffsets{
+			cellLogName:       newReportedOffsets(),
+			operationsLogName: newReportedOffsets(),
+		},
 		changedJobs:  map[string]bool{},
 		changeSignal: make(chan struct{}, 1),
 	}
@@ -63,22 +86,7 @@
 		m.schedulerSeenAt = m.config.BootTime.Now()
 	}
 	for _, entry := range entries {
-		previousEpoch := m.state.Claim().GetEpoch()
-		id, err := m.state.Apply(entry)
-		if err != nil {
-			m.config.Logger.Warn("skipping invalid record in cell log", "key", entry.Key, "offset", entry.Offset, "error", err)
-			continue
-		}
-		if claim := m.state.Claim(); claim.GetEpoch() != previousEpoch {
-			m.config.Logger.Info("new scheduler", "epoch", claim.GetEpoch(), "holder", claim.GetHolder(),
-				"offset", entry.Offset)
-		}
-		if id != "" {
-			m.changedJobs[id] = true
-		}
-		if cell.IsSchedulerKey(entry.Key) {
-			m.schedulerSeenAt = m.config.BootTime.Now()
-		}
+		m.applyCellEntry(entry)
 	}
 	m.signalChange()
 }
@@ -94,13 +102,16 @@
 		operations.EvacuatedZones = nil
 	}
 	for _, entry := range entries {
-		updated, err := m.config.ApplyEntry(operations, entry)
+		err := m.confinePanic(func() error {
+			updated, err := m.config.ApplyEntry(operations, entry)
+			if err == nil {
+				operations = updated
+			}
+			return err
+		})
 		if err != nil {
-			m.config.Logger.Warn("skipping invalid record in operations log",
-				"key", entry.Key, "offset", entry.Offset, "error", err)
-			continue
+			m.reportInvalid(operationsLogName, entry, err)
 		}
-		operations = updated
 	}
 	if operations.Config.Version != m.operations.Config.Version || len(entries) > 0 {
 		m.config.Logger.Info("operations changed",
@@ -173,6 +184,55 @@
 	visit(m.state)
 }
 
+// applyCellEntry applies an entry of the cell's log. The caller holds the mutex.
+func (m *Mirror) applyCellEntry(entry cell.Entry) {
+	previousEpoch := m.state.Claim().GetEpoch()
+	id := ""
+	err := m.confinePanic(func() error {
+		var err error
+		id, err = m.state.Apply(entry)
+		return err
+	})
+	if err != nil {
+		m.reportInvalid(cellLogName, entry, err)
+		return
+	}
+	if claim := m.state.Claim(); claim.GetEpoch() != previousEpoch {
+		m.config.Logger.Info("new scheduler", "epoch", claim.GetEpoch(), "holder", claim.GetHolder(),
+			"offset", entry.Offset)
+	}
+	if id != "" {
+		m.changedJobs[id] = true
+	}
+	if cell.IsSchedulerKey(entry.Key) {
+		m.schedulerSeenAt = m.config.BootTime.Now()
+	}
+}
+
+// confinePanic applies an entry. A panic at one record must not end the process, which would read it again after its
+// restart.
+func (m *Mirror) confinePanic(apply func() error) error {
+	return recovery.Run(m.config.Logger, m.config.Metrics, "mirror", apply)
+}
+
+// reportInvalid logs and counts an entry that is skipped as invalid, unless it was reported before. The caller holds
+// the mutex.
+func (m *Mirror) reportInvalid(log string, entry cell.Entry, err error) {
+	if !m.reported[log].add(entry.Offset) {
+		return
+	}
+	m.config.Metrics.Tagged(map[string]string{
+		"log": log,
+	}).Counter("invalid_records").Inc(1)
+	m.config.Logger.Warn("skipping invalid record in "+log+" log", "key", shorten(entry.Key), "offset", entry.Offset,
+		"error", shorten(err.Error()))
+}
+
+// shorten returns the first bytes of a text as valid UTF-8.
+func shorten(text string) string {
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorText)], "?")
+}
+
 func (m *Mirror) signalChange() {
 	select {
 	case m.changeSignal <- struct{}{}:
