agent: try addresses that never failed before those that do

Cause: the agent takes the first address in order whose backoff of 2 s has ended. An address that doesn't answer takes 1.06 s to fail. So three of them at the head of the list are tried in turn for ever, and no other one. Run 1 had ended as done at 33.266 s. Until then its executor was lost to the cell, too.

Change: the scheduler's address still comes first once it may be tried; otherwise the agent takes the address whose backoff ends or ended first, and one that never failed before all others.

The unit test fails on the earlier code.

Why it works: after each failure an address goes behind those that were not tried since, so all are tried.

--- a/agent/report.go
+++ b/agent/report.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -25,18 +26,17 @@
 	retryAt map[string]time.Duration
 }
 
-// selectAddress returns the first candidate that may be tried now, or else the one that may be tried soonest.
+// selectAddress returns the first candidate, the scheduler if it is known, once that may be tried. Otherwise it returns
+// the one that may be tried soonest; those that never failed come first. The order alone must not decide among the
+// others: a few that don't answer take longer to fail than their backoff lasts, so that the rest would never be tried.
 func (s *addressSelector) selectAddress(candidates []string, now time.Duration) string {
-	soonest := ""
-	for _, candidate := range candidates {
-		if now >= s.retryAt[candidate] {
-			return candidate
-		}
-		if soonest == "" || s.retryAt[candidate] < s.retryAt[soonest] {
-			soonest = candidate
-		}
+	if len(candidates) == 0 {
+		return ""
+	}
+	if first := candidates[0]; now >= s.retryAt[first] {
+		return first
 	}
-	return soonest
+	return slices.MinFunc(candidates, func(x, y string) int { return cmp.Compare(s.retryAt[x], s.retryAt[y]) })
 }
 
 // recordResult updates the backoff of an address after a call.
--- a/agent/report_test.go
+++ b/agent/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,3 +27,24 @@
 	require.Equal(t, "entry-1", selector.selectAddress(candidates, now+noSchedulerBackoff))
 	require.Equal(t, "dead", selector.selectAddress(candidates, now+unreachableBackoff))
 }
+
+// Guards against an agent that never reports to the new scheduler: on a day with replaced entries, three addresses that
+// didn't answer took 1.06 s each to fail, which is longer in all than the backoff of the first, and the agent tried no
+// other one for 20 s. Its runs were given up and started again, though one of them had ended as done.
+func TestUnreachableAddressesDoNotHideReachableOnes(t *testing.T) {
+	const dialTime = 1060 * time.Millisecond
+	candidates := []string{"scheduler", "dead-1", "dead-2", "dead-3", "dead-4", "alive-1", "alive-2"}
+	selector := &addressSelector{
+		retryAt: map[string]time.Duration{},
+	}
+	now := time.Minute
+	for range len(candidates) + 2 {
+		address := selector.selectAddress(candidates, now)
+		if strings.HasPrefix(address, "alive") {
+			return
+		}
+		now += dialTime
+		selector.recordResult(address, errors.New("dial timeout"), now)
+	}
+	require.Fail(t, "a reachable address was never tried")
+}
