scheduler: count the claim delay from the vacancy, not from the start

Cause: an entry with a small CPU share is to claim the leadership later than a larger one. The delay ran from the start of the process. But no entry can claim before the first configuration is there, and all read it, or a resignation, at about the same moment, when the delay has long passed. So one of 55 entries led at random, 40 of which have 0.192 cores; the scheduler takes 0.3 to 0.5 at its peak.

Change: the delay counts from when the entry first sees the cell without a leader. TestSmallEntryLetsLargerOnesClaimFirst fails before it for both the first configuration and a resignation: a small and a large entry claim at the same tick.

Where all entries are equally small, a resignation is followed by a claim up to 0.4 s later than before; the delay that follows a leader's loss is the same.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,6 +27,8 @@
 	resignOnce      sync.Once
 	// lastLedEpoch is the epoch of the last term of this process.
 	lastLedEpoch int64
+	// vacantSince is when Run first saw that the cell has no leader; 0 while it has one.
+	vacantSince time.Duration
 }
 
 // New returns a scheduler.
@@ -57,7 +59,7 @@
 // ends or PrepareShutdown is called.
 func (s *Scheduler) Run(ctx context.Context) error {
 	// The random delay keeps processes that start together from claiming at the same time.
-	delay := s.claimDelay() + time.Duration(rand.Int64N(int64(tickInterval)))
+	delay := time.Duration(rand.Int64N(int64(tickInterval)))
 	for {
 		select {
 		case <-ctx.Done():
@@ -88,7 +90,7 @@
 		return 0, false
 	}
 	silence := s.config.BootTime.Now() - lastRecordAt
-	if claim.GetEpoch() != 0 && !claim.GetResigned() && !s.leaderLost(ctx, claim, silence) {
+	if !s.mayClaim(ctx, claim, silence) {
 		return 0, false
 	}
 	logEnd := s.config.NextOffset()
@@ -118,6 +120,21 @@
 	return newClaim.GetEpoch(), s.confirmClaim(ctx, newClaim, offset)
 }
 
+// mayClaim reports whether the cell has been without a leader for the claim delay, or has lost it. The delay counts
+// from when the cell could be claimed, not from the start of the process: all entries learn of the first configuration,
+// or of a resignation, at about the same moment.
+func (s *Scheduler) mayClaim(ctx context.Context, claim *cellpb.Claim, silence time.Duration) bool {
+	if claim.GetEpoch() != 0 && !claim.GetResigned() {
+		s.vacantSince = 0
+		return s.leaderLost(ctx, claim, silence)
+	}
+	now := s.config.BootTime.Now()
+	if s.vacantSince == 0 {
+		s.vacantSince = now
+	}
+	return now-s.vacantSince >= s.claimDelay()
+}
+
 // leaderLost reports whether the leader has stopped, or has written nothing for so long that it must be replaced.
 func (s *Scheduler) leaderLost(ctx context.Context, claim *cellpb.Claim, silence time.Duration) bool {
 	switch {
