scheduler: claim only at the end of the log that the decision knows

Callers saw late and lost quotes after a leader was lost: two takeovers in a row, each of which all agents have to follow.

Cause: a claim is conditional on the end of the log, so that it fails if another entry has claimed meanwhile. That end was read after the former leader had been asked whether it has stopped, which takes up to half a second.

Change: the end is read before the state on which the decision is based. TestNoClaimAfterAnotherEntryClaimed fails before it.

It works because the store then rejects each claim whose entry has not seen the newest record, whatever it did between reading and claiming.

--- a/scheduler/claim_test.go
+++ b/scheduler/claim_test.go
@@ -28,6 +28,8 @@
 	logEnd int64
 	// claims counts the claims that were appended.
 	claims int
+	// holderStopped is the answer of the holder of the claim; nil means that it goes on.
+	holderStopped func() bool
 }
 
 // newCandidate returns a candidate whose process has been running for a minute.
@@ -55,11 +57,18 @@
 				return operations, nil
 			},
 		}),
-		Age:           func() (time.Duration, bool) { return 0, true },
-		NextOffset:    func() int64 { return c.logEnd },
-		AwaitOffset:   func(context.Context, int64) error { return nil },
-		HolderStopped: func(context.Context, *cellpb.Claim) bool { return false },
+		Age:         func() (time.Duration, bool) { return 0, true },
+		NextOffset:  func() int64 { return c.logEnd },
+		AwaitOffset: func(context.Context, int64) error { return nil },
+		HolderStopped: func(context.Context, *cellpb.Claim) bool {
+			return c.holderStopped != nil && c.holderStopped()
+		},
 		Append: func(_ context.Context, entries []cell.Entry, _ *cell.Fence, expectedEnd int64) (int64, error) {
+			if expectedEnd != c.logEnd {
+				return 0, &cell.EndMismatchError{
+					End: c.logEnd,
+				}
+			}
 			c.claims++
 			c.apply(entries...)
 			return expectedEnd, nil
@@ -74,6 +83,19 @@
 	c.logEnd += int64(len(entries))
 }
 
+// newClaimEntry returns the log entry of a claim by another entry process.
+func newClaimEntry(t *testing.T, epoch int64, resigned bool) cell.Entry {
+	t.Helper()
+	entry, err := cell.ClaimEntry(&cellpb.Claim{
+		Epoch:    epoch,
+		Holder:   "former",
+		Address:  "former:1",
+		Resigned: resigned,
+	})
+	require.NoError(t, err)
+	return entry
+}
+
 // claimedAfter returns how long the candidate, which checks at each tick, takes to claim the leadership.
 func (c *candidate) claimedAfter(t *testing.T) time.Duration {
 	t.Helper()
@@ -91,19 +113,12 @@
 // Guards against a scheduler on an entry too small for it: when the cell becomes claimable for all entries at the same
 // moment, a small one must leave the time to a larger one, however long its process has been running.
 func TestSmallEntryLetsLargerOnesClaimFirst(t *testing.T) {
-	resigned, err := cell.ClaimEntry(&cellpb.Claim{
-		Epoch:    1,
-		Holder:   "former",
-		Address:  "former:1",
-		Resigned: true,
-	})
-	require.NoError(t, err)
 	tests := []struct {
 		name    string
 		records []cell.Entry
 	}{
 		{name: "first configuration"},
-		{name: "resignation", records: []cell.Entry{resigned}},
+		{name: "resignation", records: []cell.Entry{newClaimEntry(t, 1, true)}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -123,3 +138,19 @@
 		})
 	}
 }
+
+// Guards against a new leader that is replaced at once: an entry that asks the former leader whether it has stopped
+// must not claim at the end of a log that holds another claim by then.
+func TestNoClaimAfterAnotherEntryClaimed(t *testing.T) {
+	c := newCandidate(t, largeCores)
+	c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
+	c.apply(newClaimEntry(t, 1, false))
+	c.now += leaderProbeTimeout + c.claimDelay()
+	c.holderStopped = func() bool {
+		c.apply(newClaimEntry(t, 2, false))
+		return true
+	}
+	_, leads := c.claimLeadership(t.Context())
+	require.False(t, leads)
+	require.Zero(t, c.claims)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -82,6 +82,9 @@
 	if !s.config.Mirror.Operations().Loaded {
 		return 0, false
 	}
+	// The end is read before the state, so that the claim fails if the log has a record that the decision to claim
+	// doesn't know. Asking the holder takes a while, in which another entry may have claimed.
+	logEnd := s.config.NextOffset()
 	claim, lastRecordAt := s.config.Mirror.Claim()
 	if claim.GetHolder() == s.config.Holder && claim.GetEpoch() != s.lastLedEpoch && !claim.GetResigned() {
 		return claim.GetEpoch(), true
@@ -93,7 +96,6 @@
 	if !s.mayClaim(ctx, claim, silence) {
 		return 0, false
 	}
-	logEnd := s.config.NextOffset()
 	newClaim := &cellpb.Claim{
 		Epoch:   (logEnd+1)*epochsPerOffset + rand.Int64N(epochsPerOffset),
 		Holder:  s.config.Holder,
