--- a/agent/report_test.go
+++ b/agent/report_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
--- /dev/null
+++ b/scheduler/claim_test.go
@@ -0,0 +1,159 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"radishpath.example/radishpath/boottime"
+	"radishpath.example/radishpath/cell"
+	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/mirror"
+)
+
+const (
+	smallCores = 0.2
+	largeCores = 0.8
+)
+
+// candidate is a scheduler that hasn't led yet, with a clock and a log that the test moves.
+type candidate struct {
+	*Scheduler
+	now    time.Duration
+	logEnd int64
+	// claims counts the claims that were appended.
+	claims int
+	// holderStopped is the answer of the holder of the claim; nil means that it goes on.
+	holderStopped func() bool
+}
+
+// newCandidate returns a candidate whose process has been running for a minute.
+func newCandidate(t *testing.T, cores float64) *candidate {
+	t.Helper()
+	c := &candidate{
+		now: time.Minute,
+	}
+	boot := boottime.Clock{
+		Now: func() time.Duration { return c.now },
+	}
+	c.Scheduler = New(Config{
+		Holder:   "candidate",
+		Cores:    cores,
+		Address:  "candidate:1",
+		Logger:   hclog.NewNullLogger(),
+		Clock:    clockwork.NewFakeClock(),
+		BootTime: boot,
+		Metrics:  tally.NoopScope,
+		Mirror: mirror.New(mirror.Config{
+			Logger:   hclog.NewNullLogger(),
+			BootTime: boot,
+			ApplyEntry: func(operations cell.Operations, _ cell.Entry) (cell.Operations, error) {
+				operations.Loaded = true
+				return operations, nil
+			},
+		}),
+		Age:         func() (time.Duration, bool) { return 0, true },
+		NextOffset:  func() int64 { return c.logEnd },
+		AwaitOffset: func(context.Context, int64) error { return nil },
+		HolderStopped: func(context.Context, *cellpb.Claim) bool {
+			return c.holderStopped != nil && c.holderStopped()
+		},
+		Append: func(_ context.Context, entries []cell.Entry, _ *cell.Fence, expectedEnd int64) (int64, error) {
+			if expectedEnd != c.logEnd {
+				return 0, &cell.EndMismatchError{
+					End: c.logEnd,
+				}
+			}
+			c.claims++
+			c.apply(entries...)
+			return expectedEnd, nil
+		},
+	})
+	return c
+}
+
+// apply appends entries to the candidate's copy of the cell's log.
+func (c *candidate) apply(entries ...cell.Entry) {
+	for _, entry := range entries {
+		entry.Offset = c.logEnd
+		c.config.Mirror.ApplyCell([]cell.Entry{entry}, false)
+		c.logEnd++
+	}
+}
+
+// newClaimEntry returns the log entry of a claim by another entry process.
+func newClaimEntry(t *testing.T, epoch int64, resigned bool) cell.Entry {
+	t.Helper()
+	entry, err := cell.ClaimEntry(&cellpb.Claim{
+		Epoch:    epoch,
+		Holder:   "former",
+		Address:  "former:1",
+		Resigned: resigned,
+	})
+	require.NoError(t, err)
+	return entry
+}
+
+// claimedAfter returns how long the candidate, which checks at each tick, takes to claim the leadership.
+func (c *candidate) claimedAfter(t *testing.T) time.Duration {
+	t.Helper()
+	start := c.now
+	for c.now-start < 10*time.Second {
+		if _, ok := c.claimLeadership(t.Context()); ok {
+			return c.now - start
+		}
+		c.now += tickInterval
+	}
+	require.Fail(t, "the candidate never leads")
+	return 0
+}
+
+// Guards against a scheduler on an entry too small for it: when the cell becomes claimable for all entries at the same
+// moment, a small one must leave the time to a larger one, however long its process has been running.
+func TestSmallEntryLetsLargerOnesClaimFirst(t *testing.T) {
+	tests := []struct {
+		name    string
+		records []cell.Entry
+	}{
+		{name: "first configuration"},
+		{name: "resignation", records: []cell.Entry{newClaimEntry(t, 1, true)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			delays := map[float64]time.Duration{}
+			for _, cores := range []float64{smallCores, largeCores} {
+				c := newCandidate(t, cores)
+				_, ok := c.claimLeadership(t.Context())
+				require.False(t, ok, "there is no configuration yet")
+				c.now += time.Minute
+				c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
+				c.apply(test.records...)
+				delays[cores] = c.claimedAfter(t)
+				require.Equal(t, 1, c.claims)
+			}
+			require.Greater(t, delays[smallCores]-delays[largeCores], tickInterval, "ticks of two entries differ by as much")
+			require.Less(t, delays[smallCores], leaderProbeTimeout+tickInterval)
+		})
+	}
+}
+
+// Guards against a new leader that is replaced at once: an entry that asks the former leader whether it has stopped
+// must not claim at the end of a log that holds another claim by then.
+func TestNoClaimAfterAnotherEntryClaimed(t *testing.T) {
+	c := newCandidate(t, largeCores)
+	c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
+	c.apply(newClaimEntry(t, 1, false))
+	c.now += leaderProbeTimeout + c.claimDelay()
+	c.holderStopped = func() bool {
+		c.apply(newClaimEntry(t, 2, false))
+		return true
+	}
+	_, leads := c.claimLeadership(t.Context())
+	require.False(t, leads)
+	require.Zero(t, c.claims)
+}
