scheduler: decide a claim once more when the log has newer records

Cause: a claim is conditional on the end of the log. Entries that don't schedule read it with pauses of up to 138 ms, and callers go on submitting jobs, so that a first claim often fails. The entry tried again at its next tick, 100 ms later, with a log that had grown again; the small ones, due 243 ms after the large ones, then had the same chance.

Change: a claim that fails for that reason waits until the entry has read the newer records, which also ends its pause, and is decided once more with them. TestClaimIsRepeatedAtTheEndOfTheLog fails before it; it also shows that nothing is claimed if these records are the leader's or another claim.

--- a/scheduler/claim_test.go
+++ b/scheduler/claim_test.go
@@ -26,8 +26,11 @@
 	*Scheduler
 	now    time.Duration
 	logEnd int64
-	// claims counts the claims that were appended.
-	claims int
+	// unread holds the records of the log that the candidate hasn't read.
+	unread []cell.Entry
+	// attempts counts the attempted appends, claims those that succeeded.
+	attempts int
+	claims   int
 	// holderStopped is the answer of the holder of the claim; nil means that it goes on.
 	holderStopped func() bool
 }
@@ -57,16 +60,21 @@
 				return operations, nil
 			},
 		}),
-		Age:         func() (time.Duration, bool) { return 0, true },
-		NextOffset:  func() int64 { return c.logEnd },
-		AwaitOffset: func(context.Context, int64) error { return nil },
+		Age:        func() (time.Duration, bool) { return 0, true },
+		NextOffset: func() int64 { return c.logEnd },
+		AwaitOffset: func(context.Context, int64) error {
+			c.apply(c.unread...)
+			c.unread = nil
+			return nil
+		},
 		HolderStopped: func(context.Context, *cellpb.Claim) bool {
 			return c.holderStopped != nil && c.holderStopped()
 		},
 		Append: func(_ context.Context, entries []cell.Entry, _ *cell.Fence, expectedEnd int64) (int64, error) {
-			if expectedEnd != c.logEnd {
+			c.attempts++
+			if end := c.logEnd + int64(len(c.unread)); expectedEnd != end {
 				return 0, &cell.EndMismatchError{
-					End: c.logEnd,
+					End: end,
 				}
 			}
 			c.claims++
@@ -154,3 +162,37 @@
 	require.False(t, leads)
 	require.Zero(t, c.claims)
 }
+
+// Guards against a lost leader that is succeeded by an entry too small for the scheduler: the larger ones, due earlier,
+// must not lose their turn because a job was submitted after they last read the log.
+func TestClaimIsRepeatedAtTheEndOfTheLog(t *testing.T) {
+	submitted, err := cell.JobEntry(&cellpb.Job{
+		Id:          "00000000000000aa",
+		Service:     "desk",
+		Occurrences: 1,
+		Steps:       []*cellpb.Step{{Count: 1, Cpu: 1, Accelerators: 1}},
+	})
+	require.NoError(t, err)
+	tests := []struct {
+		name     string
+		unread   cell.Entry
+		leads    bool
+		attempts int
+	}{
+		{name: "a job was submitted", unread: submitted, leads: true, attempts: 2},
+		{name: "the leader is back", unread: newClaimEntry(t, 1, false), attempts: 1},
+		{name: "another entry claimed", unread: newClaimEntry(t, 2, false), attempts: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCandidate(t, largeCores)
+			c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
+			c.apply(newClaimEntry(t, 1, false))
+			c.now += leaderTimeout + c.claimDelay()
+			c.unread = []cell.Entry{test.unread}
+			_, leads := c.claimLeadership(t.Context())
+			require.Equal(t, test.leads, leads)
+			require.Equal(t, test.attempts, c.attempts)
+		})
+	}
+}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -31,6 +31,8 @@
 	maxLogAge = 2 * time.Second
 	// maxClaimDelay is the claim delay of a process without any CPU share.
 	maxClaimDelay = 400 * time.Millisecond
+	// claimCatchUpTimeout is how long a claim that failed because the log has newer records waits to read them.
+	claimCatchUpTimeout = 400 * time.Millisecond
 	// confirmationValidity is how long after its last confirmed append the scheduler keeps extending leases.
 	confirmationValidity = 3 * time.Second
 	// tickInterval is how often deadlines are checked.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -77,24 +77,44 @@
 }
 
 // claimLeadership claims the leadership if the cell has no leader, and returns the epoch if this process is the leader
-// according to the log.
+// according to the log. If the claim fails because this process hadn't read the end of the log, it reads on and tries
+// once more: an entry that doesn't schedule reads with pauses, and while callers submit jobs, an entry that is due to
+// claim first would otherwise lose to a later one that happens to have read the newest record.
 func (s *Scheduler) claimLeadership(ctx context.Context) (int64, bool) {
+	epoch, err := s.tryClaim(ctx)
+	var mismatchErr *cell.EndMismatchError
+	if errors.As(err, &mismatchErr) && s.awaitLogEnd(ctx, mismatchErr.End) == nil {
+		epoch, err = s.tryClaim(ctx)
+	}
+	return epoch, err == nil && epoch != 0
+}
+
+// awaitLogEnd waits until this process has read the log up to an offset.
+func (s *Scheduler) awaitLogEnd(ctx context.Context, end int64) error {
+	ctx, cancel := context.WithTimeout(ctx, claimCatchUpTimeout)
+	defer cancel()
+	return s.config.AwaitOffset(ctx, end-1)
+}
+
+// tryClaim makes one attempt to claim the leadership. It returns the epoch in which this process is the leader, 0 if it
+// may not claim, and an error if the claim failed.
+func (s *Scheduler) tryClaim(ctx context.Context) (int64, error) {
 	if !s.config.Mirror.Operations().Loaded {
-		return 0, false
+		return 0, nil
 	}
 	// The end is read before the state, so that the claim fails if the log has a record that the decision to claim
 	// doesn't know. Asking the holder takes a while, in which another entry may have claimed.
 	logEnd := s.config.NextOffset()
 	claim, lastRecordAt := s.config.Mirror.Claim()
 	if claim.GetHolder() == s.config.Holder && claim.GetEpoch() != s.lastLedEpoch && !claim.GetResigned() {
-		return claim.GetEpoch(), true
+		return claim.GetEpoch(), nil
 	}
 	if logAge, ok := s.config.Age(); !ok || logAge > maxLogAge {
-		return 0, false
+		return 0, nil
 	}
 	silence := s.config.BootTime.Now() - lastRecordAt
 	if !s.mayClaim(ctx, claim, silence) {
-		return 0, false
+		return 0, nil
 	}
 	newClaim := &cellpb.Claim{
 		Epoch:   (logEnd+1)*epochsPerOffset + rand.Int64N(epochsPerOffset),
@@ -104,22 +124,31 @@
 		Capacities: claim.GetCapacities(),
 	}
 	s.config.Logger.Info("claiming leadership", "epoch", newClaim.GetEpoch(), "at", logEnd, "former", claim.GetHolder(),
-		"resigned", claim.GetResigned(), "silent", silence.Milliseconds())
-	entry, err := cell.ClaimEntry(newClaim)
+		"resigned", claim.GetResigned(), "silent", silence.Milliseconds(), "cores", s.config.Cores)
+	return s.appendClaim(ctx, newClaim, logEnd)
+}
+
+// appendClaim appends a claim if the log ends at logEnd. It returns the epoch once the log shows that the claim is the
+// newest one, and 0 if another one is.
+func (s *Scheduler) appendClaim(ctx context.Context, claim *cellpb.Claim, logEnd int64) (int64, error) {
+	entry, err := cell.ClaimEntry(claim)
 	if err != nil {
 		s.config.Logger.Error("failed to encode claim", "error", err)
-		return 0, false
+		return 0, err
 	}
 	fence := &cell.Fence{
 		Producer: producerName,
-		Epoch:    newClaim.GetEpoch(),
+		Epoch:    claim.GetEpoch(),
 	}
 	offset, err := s.appendOnce(ctx, []cell.Entry{entry}, fence, logEnd, maxAppendTimeout)
 	if err != nil {
-		s.config.Logger.Info("failed to append claim", "epoch", newClaim.GetEpoch(), "error", err)
-		return 0, false
+		s.config.Logger.Info("failed to append claim", "epoch", claim.GetEpoch(), "error", err)
+		return 0, err
+	}
+	if !s.confirmClaim(ctx, claim, offset) {
+		return 0, nil
 	}
-	return newClaim.GetEpoch(), s.confirmClaim(ctx, newClaim, offset)
+	return claim.GetEpoch(), nil
 }
 
 // mayClaim reports whether the cell has been without a leader for the claim delay, or has lost it. The delay counts
@@ -183,7 +212,7 @@
 	s.mu.Lock()
 	s.term = t
 	s.mu.Unlock()
-	s.config.Logger.Info("scheduling begins", "epoch", epoch)
+	s.config.Logger.Info("scheduling begins", "epoch", epoch, "cores", s.config.Cores)
 	// After a panic the entry goes on serving callers, and another one, or this one again, claims the leadership.
 	reason := recovery.Run(s.config.Logger, s.config.Metrics, "scheduler", func() error { return t.run(ctx) })
 	s.mu.Lock()
