agent: acknowledge only ends that the executor lists

Cause: every hold carried the number of the newest recorded end, although the executor had dropped the ends up to it long before. The next incarnation numbers its ends from 1 again, so that any such hold, in time or late, drops its first ends.

Change: a hold carries a number only while the last inventory lists a recorded end, which is the only time at which the executor has something to drop. TestLateHoldDropsNoEndsOfNextIncarnation fails without it. The case of TestHoldAfterFailureDropsNoEnds lists the recorded end now, because a hold has a number to carry only then; its three numbers are as before.

What remains: a hold that does acknowledge an end and reaches the next incarnation.

--- a/agent/generation_test.go
+++ b/agent/generation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -151,6 +152,10 @@
 func TestHoldAfterFailureDropsNoEnds(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	var recordedEnds []int64
+	listed := cell.Inventory{
+		Born:  1,
+		Ended: []*cellpb.EndedTask{{Number: 48, Task: "a.0.0.0", Run: 1}},
+	}
 	c := New(Config{
 		ID:       "agent-1",
 		Logger:   hclog.NewNullLogger(),
@@ -165,17 +170,52 @@
 				if len(recordedEnds) == 3 {
 					cancel()
 				}
-				return cell.Inventory{Born: 1}, nil
+				return listed, nil
 			},
 		},
 	})
 	c.HandleHeartbeat(cell.Heartbeat{Executor: &cellpb.Executor{Id: "i-1", Born: 1}, Sequence: 1})
 	c.switchIncarnation()
+	c.incarnation.inventory = listed
 	c.incarnation.recordedEnd = 48
 	c.holdLoop(ctx)
 	require.Equal(t, []int64{48, 0, 48}, recordedEnds)
 }
 
+// A hold may be carried out seconds later, at the next incarnation under the same id, whose ends are numbered from 1
+// again. If it carries the number of an end that the earlier incarnation has dropped long ago, it drops ends that
+// nobody has read, and their tasks are started again although they are done. Occurred with soak seed 343.
+func TestLateHoldDropsNoEndsOfNextIncarnation(t *testing.T) {
+	tests := []struct {
+		name   string
+		listed []int64
+		want   int64
+	}{
+		{name: "all recorded ends are dropped", want: 0},
+		{name: "some are listed", listed: []int64{47, 48, 49}, want: 48},
+		{name: "only later ones are listed", listed: []int64{49}, want: 0},
+		{name: "only earlier ones are listed", listed: []int64{46, 47}, want: 47},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newTestController(ExecutorClient{})
+			c.incarnation.recordedEnd = 48
+			inventory := cell.Inventory{Born: 1}
+			for _, number := range test.listed {
+				inventory.Ended = append(inventory.Ended, &cellpb.EndedTask{
+					Number: number,
+					Task:   fmt.Sprintf("a.0.0.%d", number),
+					Run:    1,
+				})
+			}
+			hold, current, _ := c.nextHold()
+			c.applyInventory(current, hold, inventory, c.config.BootTime.Now())
+			hold, _, _ = c.nextHold()
+			require.Equal(t, test.want, hold.RecordedEnd)
+		})
+	}
+}
+
 // holdOnce sends the next hold, if there is one, and processes its result as the hold loop does.
 func holdOnce(t *testing.T, c *Controller, executor *fencedExecutor, requestedAt time.Duration) error {
 	t.Helper()
--- a/agent/holds.go
+++ b/agent/holds.go
@@ -60,7 +60,7 @@
 	hold := cell.Hold{
 		Executor:    c.incarnation.executor.GetId(),
 		Fence:       c.fence(c.incarnation).Token(),
-		RecordedEnd: c.incarnation.recordedEnd,
+		RecordedEnd: c.incarnation.droppableEnd(),
 		LeaseEnd:    c.incarnation.leaseLimit,
 		Wait:        idleHoldWait,
 	}
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -125,6 +125,18 @@
 	return true
 }
 
+// droppableEnd returns the number of the newest recorded end that the executor lists; 0 if it lists none. A hold
+// carries no other number: carried out by the next incarnation, it would drop that one's ends up to it.
+func (i *incarnation) droppableEnd() int64 {
+	newest := int64(0)
+	for _, ended := range i.inventory.Ended {
+		if ended.GetNumber() <= i.recordedEnd {
+			newest = max(newest, ended.GetNumber())
+		}
+	}
+	return newest
+}
+
 // hasShrunkSince reports whether the executor's capacity is less in any resource than in an earlier description.
 func (i *incarnation) hasShrunkSince(earlier *cellpb.Executor) bool {
 	return !cell.CapacityOf(i.executor).Covers(cell.CapacityOf(earlier))
