agent: fence off the earlier incarnation after a restart of the agent

Cause: the scheduler's reply to a report that names no executor has the generation of the earlier incarnation. The restarted agent used it for the first incarnation that it heard of. With an equal fence the executor accepts both the agent's first hold and the copies of old starts. The right fence follows with the reply to the next report and, after that, with the next hold, which waits for the pending one for up to 1 s.

Change: a generation in the reply to a report that didn't name the current incarnation is that of an earlier one, so the agent uses the one after it. If the incarnation is the same, that rejects only requests of the earlier process, which the scheduler repeats anyway. Each restart of an agent uses up one of the 1023 generations, as each restart of an executor does.

--- a/agent/controller.go
+++ b/agent/controller.go
@@ -71,8 +71,17 @@
 	}
 }
 
-// raiseGeneration applies the generation that the scheduler requires for the newest incarnation. It is higher than the
-// agent's own if an earlier process of the agent has seen more incarnations. The caller holds the mutex.
+// raiseRequired applies the generation that the scheduler requires in its reply to the report with the given sequence
+// number. If that report didn't name the current incarnation, the generation is that of an earlier one, for which an
+// earlier process of this agent may have sent requests with it. The caller holds the mutex.
+func (c *Controller) raiseRequired(sequence uint64, generation int64) {
+	if c.incarnation == nil || c.incarnation.firstReport == 0 || sequence < c.incarnation.firstReport {
+		generation = cell.NextGeneration(generation)
+	}
+	c.raiseGeneration(generation)
+}
+
+// raiseGeneration raises the generation of the newest incarnation. The caller holds the mutex.
 func (c *Controller) raiseGeneration(generation int64) {
 	if generation <= c.generation {
 		return
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -48,6 +48,8 @@
 	inventory  cell.Inventory
 	// generation is that of the fences for requests to this incarnation.
 	generation int64
+	// firstReport is the sequence number of the first report that named this incarnation; 0 if none did.
+	firstReport uint64
 	// fence is that of the hold that returned the inventory, requestedAt the time of its request and readAt that of its
 	// response.
 	fence       cell.ExecutorFence
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -26,7 +26,7 @@
 		c.epoch = orders.GetEpoch()
 		notify(c.holdSignal)
 	}
-	c.raiseGeneration(orders.GetGeneration())
+	c.raiseRequired(sequence, orders.GetGeneration())
 	current := c.incarnation
 	if current == nil || current.replaced || orders.GetExecutor() != current.executor.GetId() ||
 		orders.GetBorn() != current.executor.GetBorn() {
--- a/agent/report.go
+++ b/agent/report.go
@@ -130,6 +130,9 @@
 		NoWait:   noWait,
 	}
 	if c.incarnation != nil {
+		if c.incarnation.firstReport == 0 {
+			c.incarnation.firstReport = c.lastSequence
+		}
 		c.incarnation.report(report)
 	}
 	return report, c.incarnation
