--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -48,6 +48,8 @@
 	inventory  cell.Inventory
 	// generation is that of the fences for requests to this incarnation.
 	generation int64
+	// firstReport is the sequence number of the first report that named this incarnation; 0 if none did.
+	firstReport uint64
 	// fence is that of the hold that returned the inventory, requestedAt the time of its request and readAt that of its
 	// response.
 	fence       cell.ExecutorFence
@@ -127,6 +129,18 @@
 	return true
 }
 
+// droppableEnd returns the number of the newest recorded end that the executor lists; 0 if it lists none. A hold
+// carries no other number: carried out by the next incarnation, it would drop that one's ends up to it.
+func (i *incarnation) droppableEnd() int64 {
+	newest := int64(0)
+	for _, ended := range i.inventory.Ended {
+		if ended.GetNumber() <= i.recordedEnd {
+			newest = max(newest, ended.GetNumber())
+		}
+	}
+	return newest
+}
+
 // refuteShutdown drops the announcement of the executor's end if a hold that was requested after it was answered.
 func (i *incarnation) refuteShutdown(requestedAt time.Duration) {
 	if requestedAt > i.shutdownAt {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -139,7 +139,7 @@
 		Producer: producerName,
 		Epoch:    claim.GetEpoch(),
 	}
-	s.claimedEpoch, s.claimedAt = newClaim.GetEpoch(), s.config.BootTime.Now()
+	s.claimedEpoch, s.claimedAt = claim.GetEpoch(), s.config.BootTime.Now()
 	offset, err := s.appendOnce(ctx, []cell.Entry{entry}, fence, logEnd, maxAppendTimeout)
 	if err != nil {
 		s.config.Logger.Info("failed to append claim", "epoch", claim.GetEpoch(), "error", err)
