platform: apply the sound part of a configuration, and publish over odd ones

Callers would see: 503 from every entry that restarts, since the newest record of the configuration is the only one that it reads, and a new version that takes no effect anywhere, because one route or tenant of it is odd. Operators could neither show nor publish a document over a record that can't be read.

A publish replaces what can't be read, with a revision above the newest stored one.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -39,7 +39,8 @@
 	BootTime boottime.Clock
 	// Metrics counts invalid records; nil means no metrics.
 	Metrics tally.Scope
-	// ApplyEntry applies an entry of the operators' log.
+	// ApplyEntry returns the operations with an entry of the operators' log applied. An error says what of the entry was
+	// left out; the returned operations hold in any case.
 	ApplyEntry func(operations cell.Operations, entry cell.Entry) (cell.Operations, error)
 }
 
@@ -103,10 +104,8 @@
 	}
 	for _, entry := range entries {
 		err := m.confinePanic(func() error {
-			updated, err := m.config.ApplyEntry(operations, entry)
-			if err == nil {
-				operations = updated
-			}
+			var err error
+			operations, err = m.config.ApplyEntry(operations, entry)
 			return err
 		})
 		if err != nil {
--- a/operator/publisher.go
+++ b/operator/publisher.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -43,7 +44,8 @@
 	// Operations is the operators' log, Documents the log that stores the texts.
 	Operations KeyedLog
 	Documents  KeyedLog
-	// ApplyEntry returns operations with an entry of the operators' log applied.
+	// ApplyEntry returns operations with an entry of the operators' log applied. An error says what of the entry was left
+	// out; the returned operations hold in any case.
 	ApplyEntry func(operations cell.Operations, entry cell.Entry) (cell.Operations, error)
 	// DiffEntries returns the entries to append to the current ones to arrive at next.
 	DiffEntries func(current []cell.Entry, next cell.Operations) ([]cell.Entry, error)
@@ -70,21 +72,40 @@
 	current := Document{
 		operationsPage: operationsPage,
 	}
+	skipped := false
 	for _, entry := range operationsPage.Entries {
 		operations, applyErr := p.config.ApplyEntry(current.Operations, entry)
 		if applyErr != nil {
-			return Document{}, fmt.Errorf("read the operators' log: %w", applyErr)
+			// Entries skip it as well. An operator must be able to publish over it.
+			p.config.Logger.Warn("skipping invalid record in operations log", "key", entry.Key, "offset", entry.Offset,
+				"error", applyErr)
+			skipped = true
 		}
 		current.Operations = operations
 	}
 	current.Revision = current.Operations.Config.Version
-	if !current.Operations.Loaded {
+	if !current.Operations.Loaded && !skipped {
 		return current, nil
 	}
+	if !current.Operations.Loaded {
+		return p.lastStored(ctx, current)
+	}
 	current.Text, err = p.documentText(ctx, current.Operations)
 	return current, err
 }
 
+// lastStored returns a document whose configuration can't be read with the newest stored revision, which the entries
+// may still use: a document with a lower one would have no effect on them.
+func (p *Publisher) lastStored(ctx context.Context, unreadable Document) (Document, error) {
+	history, err := p.History(ctx)
+	if err != nil || len(history) == 0 {
+		return unreadable, err
+	}
+	unreadable.Revision = history[0].Revision
+	unreadable.Text = history[0].Text
+	return unreadable, nil
+}
+
 // History returns the stored revisions, newest first.
 func (p *Publisher) History(ctx context.Context) ([]Revision, error) {
 	page, err := p.config.Documents.ReadLatest(ctx)
@@ -94,12 +115,18 @@
 	var history []Revision
 	for _, entry := range page.Entries {
 		record := &cellpb.Record{}
-		if err = proto.Unmarshal(entry.Value, record); err != nil || record.GetDocument() == nil {
+		err = errors.Join(entry.Err, proto.Unmarshal(entry.Value, record))
+		if err != nil || record.GetDocument() == nil {
 			p.config.Logger.Warn("skipping invalid record in document log", "key", entry.Key, "offset", entry.Offset,
 				"error", err)
 			continue
 		}
 		stored := record.GetDocument()
+		if entry.Key != documentKey(stored.GetRevision()) {
+			p.config.Logger.Warn("skipping record under another revision's key in document log", "key", entry.Key,
+				"offset", entry.Offset)
+			continue
+		}
 		history = append(history, Revision{
 			Revision:    stored.GetRevision(),
 			Text:        stored.GetText(),
@@ -107,7 +134,7 @@
 			PublishedAt: time.UnixMilli(stored.GetPublishedMs()).UTC(),
 		})
 	}
-	slices.SortFunc(history, func(a, b Revision) int { return int(b.Revision - a.Revision) })
+	slices.SortFunc(history, func(a, b Revision) int { return cmp.Compare(b.Revision, a.Revision) })
 	return history, nil
 }
 
--- a/operator/publisher_test.go
+++ b/operator/publisher_test.go
@@ -213,3 +213,27 @@
 	}
 	require.Equal(t, []string{"entry-3"}, <-result)
 }
+
+// Guards against an odd record in the operators' log over which no operator can publish, or only a revision below the
+// one that the entries still use, which they would ignore.
+func TestPublishOverOddRecord(t *testing.T) {
+	const text = "[service]\nname = desk\n"
+	f := newPublisherFixture(t)
+	for base := range int64(3) {
+		_, err := f.Publish(t.Context(), base, text)
+		require.NoError(t, err)
+	}
+	f.store.AppendOperation("config", []byte(strings.Repeat("[", 50_000)))
+	f.store.Append("keyed.document", "text/9", []byte("no document"))
+	f.store.Append("keyed.document", "text/\xff", []byte("\x32\x02\x08\x08"))
+	require.EqualValues(t, 3, f.current(t).Revision)
+	published, err := f.Publish(t.Context(), 3, text)
+	require.NoError(t, err)
+	require.EqualValues(t, 4, published.Revision)
+	require.True(t, f.current(t).Operations.Loaded)
+
+	f.store.AppendOperation("config", []byte(`{"version":5,"routes":[7]}`))
+	require.EqualValues(t, 5, f.current(t).Revision)
+	_, err = f.Publish(t.Context(), 5, text)
+	require.NoError(t, err)
+}
