--- a/cell/validaterecord.go
+++ b/cell/validaterecord.go
@@ -30,7 +30,7 @@
 		if prefix != memberPrefix || id == "" || body.Member.GetId() != id {
 			return errWrongKey
 		}
-		return validateAddress(body.Member.GetAddress())
+		return ValidateAddress(body.Member.GetAddress())
 	case *cellpb.Record_Job:
 		if prefix != jobPrefix || body.Job.GetId() != id || !validJobID(id) {
 			return errWrongKey
@@ -87,8 +87,8 @@
 	return nil
 }
 
-// validateAddress returns why an address can't be dialed, or nil.
-func validateAddress(address string) error {
+// ValidateAddress returns why an address can't be dialed, or nil.
+func ValidateAddress(address string) error {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil {
 		return fmt.Errorf("address: %w", err)
