cell: check what a job has from its queue, and the sum of its estimates

Callers would see: a job of another writer, or one with estimates above 292 years together, whose objective is not a number or overflows, so that the order of the queue depends on the order of comparisons.

Cause: ValidateJob checked the steps only, and each estimate by itself.

Change: stretch, slack, priority, failures and the time of acceptance have ranges, which the configuration keeps as well; the estimates of a job add up to a hundred years at most.

After: all cases pass, also in TestApplySkipsInvalidJobRecord.

--- a/cell/validate.go
+++ b/cell/validate.go
@@ -13,6 +13,11 @@
 	maxTasksPerJob = 10000
 	// maxAmount bounds each resource request and each time in milliseconds, so that sums of them can't overflow.
 	maxAmount = math.MaxInt64 / (4 * maxTasksPerJob)
+	// maxRunTimeMs bounds the sum of the estimates of a job's steps, which is added up as nanoseconds: a hundred years.
+	maxRunTimeMs = 100 * 365 * 24 * 60 * 60 * 1000
+	// maxSlackMs and maxStretch bound a job's objective: ten years, and what the configuration may set.
+	maxSlackMs = 10 * 365 * 24 * 60 * 60 * 1000
+	maxStretch = 1e6
 )
 
 // ValidateJob returns why a job can't be scheduled, or nil. It applies to jobs of callers and to records of the log, as
@@ -27,7 +32,10 @@
 	if !inRange(job.GetStartMs()) || !inRange(job.GetIntervalMs()) {
 		return errors.New("start time or interval out of range")
 	}
-	tasks := int64(0)
+	if err := validatePolicy(job); err != nil {
+		return err
+	}
+	tasks, runTimeMs := int64(0), int64(0)
 	for i, step := range job.GetSteps() {
 		if err := validateStep(step, i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
@@ -36,6 +44,25 @@
 		if tasks > maxTasksPerJob || tasks*int64(job.GetOccurrences()) > maxTasksPerJob {
 			return fmt.Errorf("more than %d tasks", maxTasksPerJob)
 		}
+		runTimeMs += step.GetEstimateMs()
+		if runTimeMs > maxRunTimeMs {
+			return errors.New("estimates out of range")
+		}
+	}
+	return nil
+}
+
+// validatePolicy checks what a job has from its queue. Not a number and infinity are out of range, too.
+func validatePolicy(job *cellpb.Job) error {
+	if !inRange(job.GetAcceptedMs()) {
+		return errors.New("time of acceptance out of range")
+	}
+	if job.GetPriority() < 0 || job.GetMaxFailures() < 0 {
+		return errors.New("priority or failures out of range")
+	}
+	inStretchRange := job.GetStretch() >= 0 && job.GetStretch() <= maxStretch
+	if !inStretchRange || job.GetSlackMs() < 0 || job.GetSlackMs() > maxSlackMs {
+		return errors.New("objective out of range")
 	}
 	return nil
 }
--- a/cell/validate_test.go
+++ b/cell/validate_test.go
@@ -54,6 +54,19 @@
 	{name: "huge estimate", change: func(job *cellpb.Job) { job.Steps[0].EstimateMs = math.MaxInt64 }},
 	{name: "negative spread", change: func(job *cellpb.Job) { job.Steps[0].Spread = -1 }},
 	{name: "huge start", change: func(job *cellpb.Job) { job.StartMs = math.MaxInt64 }},
+	{name: "estimates that overflow together", change: func(job *cellpb.Job) {
+		for _, step := range job.GetSteps() {
+			step.EstimateMs = maxRunTimeMs/2 + 1
+		}
+	}},
+	{name: "stretch is no number", change: func(job *cellpb.Job) { job.Stretch = math.NaN() }},
+	{name: "infinite stretch", change: func(job *cellpb.Job) { job.Stretch = math.Inf(1) }},
+	{name: "negative stretch", change: func(job *cellpb.Job) { job.Stretch = -1 }},
+	{name: "slack that overflows", change: func(job *cellpb.Job) { job.SlackMs = math.MaxInt64 / 1000 }},
+	{name: "negative slack", change: func(job *cellpb.Job) { job.SlackMs = -1 }},
+	{name: "negative priority", change: func(job *cellpb.Job) { job.Priority = -1 }},
+	{name: "negative failures", change: func(job *cellpb.Job) { job.MaxFailures = -1 }},
+	{name: "acceptance out of range", change: func(job *cellpb.Job) { job.AcceptedMs = math.MinInt64 }},
 	{name: "negative interval", change: func(job *cellpb.Job) { job.IntervalMs = -1 }},
 }
 
