proof: play odd records in every topic, at a start and while processes run

Another writer leaves records in the operators' log, the cell's log and the document log, and sends heartbeats to every agent: deep nesting, numbers beyond 64 bits, a port out of range, wrong keys and kinds. Jobs must complete, new keys take effect, the scheduler's entry and then all entries start again after the store has dropped old records, and no process panics.

--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -72,9 +72,11 @@
 	CallerAddresses []string
 	// JobsAddresses are the entries' addresses of the jobs API.
 	JobsAddresses []string
-	Proxies       []*Proxy
-	cancel        context.CancelFunc
-	servers       []*httptest.Server
+	// ControlAddresses are the agents' addresses for heartbeats.
+	ControlAddresses []string
+	Proxies          []*Proxy
+	cancel           context.CancelFunc
+	servers          []*httptest.Server
 }
 
 // Start starts the store, the executors and all processes of a cluster. They run until Close is called or the calling
@@ -224,6 +226,7 @@
 		address = proxied
 	}
 	controlAddress := fmt.Sprintf("%s:%d", ip, c.basePort+callerPortOffset)
+	c.ControlAddresses = append(c.ControlAddresses, controlAddress)
 	go executor.Run(ctx)
 	go executor.SendHeartbeats(ctx, "http://"+controlAddress)
 	c.Executors = append(c.Executors, executor)
--- /dev/null
+++ b/standin/cluster/oddrecords.go
@@ -0,0 +1,104 @@
+package cluster
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"radishpath.example/radishpath/cell/cellpb"
+)
+
+// LeaveOddRecords appends records that no process of a cell writes to every topic, as another writer might.
+func (c *Cluster) LeaveOddRecords() error {
+	for _, record := range []struct {
+		key    string
+		record *cellpb.Record
+	}{
+		{key: "scheduler", record: oddClaim()},
+		{key: "other", record: oddClaim()},
+		{key: "entry/other", record: oddMember()},
+		{key: "entry/\xff\xfe", record: oddMember()},
+		{key: "progress/00000000000000ff", record: oddProgress()},
+	} {
+		value, err := proto.Marshal(record.record)
+		if err != nil {
+			return fmt.Errorf("encode odd record: %w", err)
+		}
+		c.Store.Append("keyed.cell", record.key, value)
+	}
+	nested := []byte(strings.Repeat("[", 200_000))
+	for _, record := range []struct {
+		topic string
+		key   string
+		value []byte
+	}{
+		{topic: "keyed.cell", key: "job/00000000000000fe", value: nested},
+		{topic: "keyed.cell", key: "job/00000000000000fd", value: bytes.Repeat([]byte{0xff}, 300_000)},
+		{topic: "keyed.cell", key: "", value: nested},
+		{topic: "keyed.cell", key: strings.Repeat("k", 255), value: []byte("x")},
+		{topic: "keyed.op", key: "config", value: nested},
+		{topic: "keyed.op", key: "config", value: []byte(`{"version":9223372036854775807,"routes":[]}`)},
+		{topic: "keyed.op", key: "config", value: []byte(`{"version":1e999}`)},
+		{topic: "keyed.op", key: "evacuate/\xff", value: nested},
+		{topic: "keyed.op", key: "wave/1", value: nested},
+		{topic: "keyed.op", key: "", value: []byte("x")},
+		{topic: "keyed.document", key: "text/9", value: nested},
+	} {
+		c.Store.Append(record.topic, record.key, record.value)
+	}
+	return nil
+}
+
+// OddHeartbeats returns bodies of heartbeats that no executor sends.
+func OddHeartbeats() []string {
+	var bodies []string
+	for _, field := range []string{
+		`"address":"10.0.0.9:70000"`, `"born":1e300`, `"born":1e999`, `"clockMs":1e300`, `"seq":18446744073709551616`,
+		`"state":"idle"`, `"labels":` + strings.Repeat("[", 50_000),
+	} {
+		bodies = append(bodies, `{"service":"`+serviceName+
+			`","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1,"gpu":1},`+field+`}`)
+	}
+	return bodies
+}
+
+func oddClaim() *cellpb.Record {
+	return &cellpb.Record{
+		Body: &cellpb.Record_Claim{
+			Claim: &cellpb.Claim{
+				Epoch:   1<<62 + 1,
+				Holder:  "other",
+				Address: "10.0.0.9:70000",
+			},
+		},
+	}
+}
+
+func oddMember() *cellpb.Record {
+	return &cellpb.Record{
+		Body: &cellpb.Record_Member{
+			Member: &cellpb.Member{
+				Id:      "other",
+				Address: "10.0.0.9:70000",
+			},
+		},
+	}
+}
+
+func oddProgress() *cellpb.Record {
+	return &cellpb.Record{
+		Body: &cellpb.Record_Progress{
+			Progress: &cellpb.Progress{
+				Id:    "00000000000000ff",
+				State: 77,
+				Tasks: []*cellpb.Task{{
+					Run:      1<<31 - 1,
+					Step:     1<<31 - 1,
+					Failures: -1,
+				}},
+			},
+		},
+	}
+}
