agent: forget the addresses of former entries

Callers would see: work that waits longer for a new scheduler in a cell whose entries have had other addresses, or whose log once held addresses that can't be dialed: an agent without a scheduler tries each known address in turn.

Cause: updateAddresses added each address that a reply named, also an empty one, and never dropped one.

Change: the scheduler's replies list all entries, so that others but the seeds are forgotten; an agent knows 256 entries at most.

--- a/agent/report.go
+++ b/agent/report.go
@@ -12,6 +12,9 @@
 // maxRelayAgents is the number of other agents tried as relays if no entry replies.
 const maxRelayAgents = 3
 
+// maxEntryAddresses bounds the entries that an agent knows.
+const maxEntryAddresses = 256
+
 const (
 	// unreachableBackoff is how long an address that didn't reply is skipped. noSchedulerBackoff applies to one that
 	// knows no scheduler; it is shorter, because a new scheduler may be elected at any moment.
@@ -207,16 +210,28 @@
 	if orders.GetScheduler() != "" && orders.GetEpoch() >= c.epoch {
 		c.schedulerAddress = orders.GetScheduler()
 	}
-	for _, entry := range orders.GetEntries() {
-		if !slices.Contains(c.entryAddresses, entry) {
-			c.entryAddresses = append(c.entryAddresses, entry)
-		}
-	}
+	c.updateEntries(orders)
 	if len(orders.GetAgents()) > 0 {
 		c.agentAddresses = orders.GetAgents()
 	}
 }
 
+// updateEntries updates the addresses of the entries from a reply. The scheduler lists all of them, so that others are
+// forgotten; an entry that knows no scheduler lists those that it knows. The caller holds the mutex.
+func (c *Controller) updateEntries(orders *cellpb.Orders) {
+	listed := orders.GetEntries()
+	if orders.GetEpoch() != 0 && len(listed) > 0 {
+		c.entryAddresses = slices.DeleteFunc(slices.Clone(c.entryAddresses), func(address string) bool {
+			return !slices.Contains(c.config.SeedAddresses, address) && !slices.Contains(listed, address)
+		})
+	}
+	for _, address := range slices.Sorted(slices.Values(listed)) {
+		if address != "" && !slices.Contains(c.entryAddresses, address) && len(c.entryAddresses) < maxEntryAddresses {
+			c.entryAddresses = append(c.entryAddresses, address)
+		}
+	}
+}
+
 // ForwardReport forwards another agent's report to the scheduler. It rejects a report that was forwarded before.
 func (c *Controller) ForwardReport(ctx context.Context, request *cellpb.Request) *cellpb.Reply {
 	report := request.GetReport()
