cmd: list an entry with an odd record instead of failing

Operators would see: top that fails, and publishes that end with an error, for as long as one record of an entry in the cell's log is odd.

Cause: cellState returned an error, so that a publish isn't reported as in effect at an entry that hasn't confirmed it.

Change: the entry is listed by its key without an address. A publish names it as one that hasn't confirmed (exit code as for a lagging entry); top prints the rest.

--- a/cmd/storeconn.go
+++ b/cmd/storeconn.go
@@ -78,33 +78,38 @@
 	return run(conn)
 }
 
-// cellState reads the cell's log and returns the resulting state.
-func (s *storeConn) cellState(ctx context.Context) (*cell.State, error) {
+// cellState reads the cell's log and returns the resulting state, and the keys of entries whose records are invalid.
+func (s *storeConn) cellState(ctx context.Context) (state *cell.State, invalidMembers []string, err error) {
 	page, err := s.cell.ReadLatest(ctx)
 	if err != nil {
-		return nil, fmt.Errorf("read cell state: %w", err)
+		return nil, nil, fmt.Errorf("read cell state: %w", err)
 	}
-	cellState := cell.NewState()
+	state = cell.NewState()
 	for _, entry := range page.Entries {
-		_, err := cellState.Apply(entry)
-		if err != nil && cell.IsMemberKey(entry.Key) {
-			// Without this record, a publish could be reported as in effect at all entries although it isn't.
-			return nil, fmt.Errorf("read cell state: %w", err)
-		}
-		if err != nil {
+		if _, applyErr := state.Apply(entry); applyErr != nil {
 			// Entries skip such a record as well.
-			s.logger.Warn("skipping invalid record in cell log", "key", entry.Key, "offset", entry.Offset, "error", err)
+			s.logger.Warn("skipping invalid record in cell log", "key", entry.Key, "offset", entry.Offset,
+				"error", applyErr)
+			if cell.IsMemberKey(entry.Key) {
+				invalidMembers = append(invalidMembers, entry.Key)
+			}
 		}
 	}
-	return cellState, nil
+	return state, invalidMembers, nil
 }
 
+// entryAddresses returns the addresses of all entries by id. An entry whose record is invalid is listed by its key
+// without an address: without it, a publish could be reported as in effect at all entries although it isn't.
 func (s *storeConn) entryAddresses(ctx context.Context) (map[string]string, error) {
-	cellState, err := s.cellState(ctx)
+	cellState, invalidMembers, err := s.cellState(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return cellState.Members(), nil
+	addresses := cellState.Members()
+	for _, key := range invalidMembers {
+		addresses[key] = ""
+	}
+	return addresses, nil
 }
 
 func (s *storeConn) nextOperationsOffset(ctx context.Context, address string) (int64, error) {
--- a/cmd/topcmd.go
+++ b/cmd/topcmd.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return fmt.Errorf("top: %w", err)
 	}
-	cellState, err := conn.cellState(ctx)
+	cellState, _, err := conn.cellState(ctx)
 	if err != nil {
 		return fmt.Errorf("top: %w", err)
 	}
