mirror: ignore a claim of a peer beyond the fence token

Callers would see: no scheduler, for an entry that can't read the store and is told by another one of a claim with an epoch that no scheduler can exceed.

Cause: only claims from the log had a range.

Evidence, without the check: --- FAIL: TestPeerClaimBeyondFenceTokenIsIgnored (actual: "odd")

Change: a claim above 2^43-1, for which a fence token has no room, is ignored. A peer of this version passes on none, since it applies none.

After: the test passes.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -140,7 +140,7 @@
 func (m *Mirror) SetPeerClaim(claim *cellpb.Claim) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if claim.GetEpoch() <= max(m.peerClaim.GetEpoch(), m.state.Claim().GetEpoch()) {
+	if claim.GetEpoch() <= max(m.peerClaim.GetEpoch(), m.state.Claim().GetEpoch()) || claim.GetEpoch() > cell.MaxEpoch {
 		return
 	}
 	m.peerClaim = claim
--- a/mirror/oddrecord_test.go
+++ b/mirror/oddrecord_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"math"
 	"strings"
 	"testing"
 
@@ -12,6 +13,7 @@
 
 	"radishpath.example/radishpath/boottime"
 	"radishpath.example/radishpath/cell"
+	"radishpath.example/radishpath/cell/cellpb"
 )
 
 var errOdd = errors.New("odd record")
@@ -96,3 +98,17 @@
 	}
 	require.LessOrEqual(t, len(reported.offsets), maxReportedOffsets)
 }
+
+// Guards against a claim of another writer, passed on by an older entry, that no scheduler's epoch can exceed.
+func TestPeerClaimBeyondFenceTokenIsIgnored(t *testing.T) {
+	m := New(Config{
+		Logger:   hclog.NewNullLogger(),
+		BootTime: boottime.NewClock(),
+	})
+	for _, epoch := range []int64{math.MaxInt64, 1 << 43, -1, 0} {
+		m.SetPeerClaim(&cellpb.Claim{Epoch: epoch, Holder: "odd"})
+	}
+	m.SetPeerClaim(&cellpb.Claim{Epoch: 7, Holder: "a"})
+	claim, _ := m.Claim()
+	require.Equal(t, "a", claim.GetHolder())
+}
