--- a/proof/odd_records_test.go
+++ b/proof/odd_records_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"bytes"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -10,85 +9,27 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"google.golang.org/protobuf/proto"
 
-	"radishpath.example/radishpath/cell/cellpb"
 	"radishpath.example/radishpath/standin/cluster"
 )
 
-// oddRecord is a record that another writer leaves in a topic.
-type oddRecord struct {
-	topic string
-	key   string
-	value []byte
-}
-
-// oddRecords returns records that no process of a cell writes.
-func oddRecords(t *testing.T) []oddRecord {
-	t.Helper()
-	encode := func(record *cellpb.Record) []byte {
-		value, err := proto.Marshal(record)
-		require.NoError(t, err)
-		return value
-	}
-	claim := encode(&cellpb.Record{Body: &cellpb.Record_Claim{Claim: &cellpb.Claim{
-		Epoch:   1<<62 + 1,
-		Holder:  "other",
-		Address: "10.0.0.9:70000",
-	}}})
-	member := encode(&cellpb.Record{Body: &cellpb.Record_Member{Member: &cellpb.Member{
-		Id:      "other",
-		Address: "10.0.0.9:70000",
-	}}})
-	progress := encode(&cellpb.Record{Body: &cellpb.Record_Progress{Progress: &cellpb.Progress{
-		Id:    "00000000000000ff",
-		State: 77,
-		Tasks: []*cellpb.Task{{Run: 1<<31 - 1, Step: 1<<31 - 1, Failures: -1}},
-	}}})
-	nested := []byte(strings.Repeat("[", 200_000))
-	return []oddRecord{
-		{topic: "keyed.cell", key: "scheduler", value: claim},
-		{topic: "keyed.cell", key: "other", value: claim},
-		{topic: "keyed.cell", key: "entry/other", value: member},
-		{topic: "keyed.cell", key: "entry/\xff\xfe", value: member},
-		{topic: "keyed.cell", key: "progress/00000000000000ff", value: progress},
-		{topic: "keyed.cell", key: "job/00000000000000fe", value: nested},
-		{topic: "keyed.cell", key: "job/00000000000000fd", value: bytes.Repeat([]byte{0xff}, 300_000)},
-		{topic: "keyed.cell", key: "", value: nested},
-		{topic: "keyed.cell", key: strings.Repeat("k", 255), value: []byte("x")},
-		{topic: "keyed.op", key: "config", value: nested},
-		{topic: "keyed.op", key: "config", value: []byte(`{"version":9223372036854775807,"routes":[]}`)},
-		{topic: "keyed.op", key: "config", value: []byte(`{"version":1e999}`)},
-		{topic: "keyed.op", key: "evacuate/\xff", value: nested},
-		{topic: "keyed.op", key: "wave/1", value: nested},
-		{topic: "keyed.op", key: "", value: []byte("x")},
-		{topic: "keyed.document", key: "text/9", value: nested},
-	}
-}
-
 func (h *harness) leaveOddRecords() {
 	h.t.Helper()
-	for _, record := range oddRecords(h.t) {
-		h.Store.Append(record.topic, record.key, record.value)
-	}
+	require.NoError(h.t, h.LeaveOddRecords())
 }
 
 // sendOddHeartbeats sends heartbeats of another writer to every agent and requires that they are rejected.
 func (h *harness) sendOddHeartbeats() {
 	h.t.Helper()
 	for _, address := range h.ControlAddresses {
-		for _, field := range []string{
-			`"address":"10.0.0.9:70000"`, `"born":1e300`, `"born":1e999`, `"clockMs":1e300`, `"seq":18446744073709551616`,
-			`"state":"idle"`, `"labels":` + strings.Repeat("[", 50_000),
-		} {
-			body := `{"service":"desk","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1,"gpu":1},` + field + `}`
+		for _, body := range cluster.OddHeartbeats() {
 			request, err := http.NewRequestWithContext(h.t.Context(), http.MethodPut,
 				"http://"+address+"/v1/instances/i-other", strings.NewReader(body))
 			require.NoError(h.t, err)
 			response, err := http.DefaultClient.Do(request)
 			require.NoError(h.t, err)
 			require.NoError(h.t, response.Body.Close())
-			require.Equal(h.t, http.StatusBadRequest, response.StatusCode, field)
+			require.Equal(h.t, http.StatusBadRequest, response.StatusCode, body)
 		}
 	}
 }
