dispatch: log starts that a later incarnation carried out

On call, nothing told a task that ran twice because of a late start at the next incarnation of an executor from other causes: 'orphaned run' is written for both, and not at all if that run has ended before the first report.

Change: the scheduler writes 'late start at next incarnation' for each run in the first report of an incarnation that follows another one, with the run, the earlier incarnation, the time since that one answered, and what the start met, and counts them in radishpath_late_starts by outcome.

In four traces the executor starts again while its agent can't reach it, and carries out a copy of a start for a run that had ended, or was lost, long before.

The protocol has no bound on how late a call is carried out, and none follows from the lease or the start's deadline, so that it is not built.

--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -85,6 +85,9 @@
 	e.health = health{}
 	p.config.Log("new executor incarnation", "agent", e.agent, "executor", incarnation, "zone", e.state.GetZone(),
 		"labels", strings.Join(e.state.GetLabels(), ","))
+	if crashed.incarnation != "" {
+		p.logLateStarts(e, report, crashed, now)
+	}
 	p.adoptOrLoseRuns(e, report, crashed, now)
 	p.recordCrash(e, crashed, now)
 }
