--- a/agent/generation_test.go
+++ b/agent/generation_test.go
@@ -275,8 +275,8 @@
 }
 
 // The machine of an executor loses power, so that the pending hold gets no answer, and a heartbeat of the next
-// incarnation arrives. If the agent waits for the pending hold's timeout before it contacts that incarnation, starts for
-// the earlier one are carried out there for up to 1.6 s.
+// incarnation arrives. If the agent waits for the pending hold's timeout before it contacts that incarnation, starts
+// for the earlier one are carried out there for up to 1.6 s.
 func TestPendingHoldEndsWithItsFence(t *testing.T) {
 	tests := []struct {
 		name   string
