gateway: relay appends first to entries that didn't fail

Callers would see: submissions rejected by an entry that can't reach the store, although other entries could store them.

Cause: RelayAppend asked the other entries in the order of their addresses each time. An attempt has 0.6 s, and a dial that gets no answer takes 1 s. So one unreachable entry at the head of the list took each attempt whole, and no other entry was asked.

Change: an entry at which a relayed append failed goes behind the others until one succeeds there.

Evidence: TestRelayAppendReachesEntryBehindUnreachableOnes fails before it ("dead-1:1: the log rejected the call") and passes after it; the tests of the package pass with the race detector.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -55,13 +57,19 @@
 
 // PeerService serves the peer protocol to agents and other entries, and calls other entries.
 type PeerService struct {
-	config PeerServiceConfig
+	config  PeerServiceConfig
+	relayMu sync.Mutex
+	// relayFailures counts the relayed appends that failed. lastFailures holds, for each entry whose last one failed, the
+	// count at that failure.
+	relayFailures int64
+	lastFailures  map[string]int64
 }
 
 // NewPeerService returns a PeerService.
 func NewPeerService(config PeerServiceConfig) *PeerService {
 	return &PeerService{
-		config: config,
+		config:       config,
+		lastFailures: map[string]int64{},
 	}
 }
 
@@ -87,14 +95,18 @@
 	}
 }
 
-// RelayAppend asks the other entries of the cell, one after the other, to append a record to the cell's log.
+// RelayAppend asks the other entries of the cell, one after the other, to append a record to the cell's log. It starts
+// with those at which no append has failed or one failed longest ago: one that doesn't answer may take all the time, and
+// the others would never be asked.
 func (p *PeerService) RelayAppend(ctx context.Context, request *cellpb.Append) error {
 	joinedErr := error(nil)
-	for _, address := range p.otherEntries() {
+	for _, address := range p.relayCandidates() {
 		reply := &cellpb.Reply{}
 		err := p.config.Call(ctx, address, &cellpb.Request{Body: &cellpb.Request_Append{Append: request}}, reply)
+		stored := err == nil && reply.GetAppended().GetStored()
+		p.recordRelay(address, stored)
 		switch {
-		case err == nil && reply.GetAppended().GetStored():
+		case stored:
 			return nil
 		case errors.Is(err, peer.ErrNotSent), err == nil && reply.GetError() == "":
 			joinedErr = errors.Join(joinedErr, fmt.Errorf("%s: %w", address, cell.ErrRejected))
@@ -115,6 +127,27 @@
 	return joinedErr
 }
 
+// relayCandidates returns the other entries in the order in which appends are relayed to them.
+func (p *PeerService) relayCandidates() []string {
+	candidates := p.otherEntries()
+	p.relayMu.Lock()
+	defer p.relayMu.Unlock()
+	slices.SortStableFunc(candidates, func(x, y string) int { return cmp.Compare(p.lastFailures[x], p.lastFailures[y]) })
+	return candidates
+}
+
+// recordRelay records whether an entry stored a relayed append.
+func (p *PeerService) recordRelay(address string, stored bool) {
+	p.relayMu.Lock()
+	defer p.relayMu.Unlock()
+	if stored {
+		delete(p.lastFailures, address)
+		return
+	}
+	p.relayFailures++
+	p.lastFailures[address] = p.relayFailures
+}
+
 // WatchClaim asks the other entries for the scheduler's claim while this entry can't read the cell's log, until ctx
 // ends. In this way a scheduler that can't reach the store learns that it was replaced, and redirects its agents.
 func (p *PeerService) WatchClaim(ctx context.Context) error {
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -16,6 +16,7 @@
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 	"radishpath.example/radishpath/mirror"
+	"radishpath.example/radishpath/peer"
 )
 
 func newMirror(t *testing.T) *mirror.Mirror {
@@ -103,3 +104,36 @@
 		})
 	}
 }
+
+// Guards against calls that are rejected although an entry could store them: the first entry in the order of addresses
+// doesn't answer and takes the whole timeout of each attempt, so that the next one is never asked.
+func TestRelayAppendReachesEntryBehindUnreachableOnes(t *testing.T) {
+	const attemptTimeout = 20 * time.Millisecond
+	peers := NewPeerService(PeerServiceConfig{
+		Address: "own:1",
+		Seeds:   []string{"dead-1:1", "dead-2:1", "alive:1", "dead-3:1"},
+		Mirror:  newMirror(t),
+		Call: func(ctx context.Context, address string, _, reply proto.Message) error {
+			if address != "alive:1" {
+				<-ctx.Done()
+				return fmt.Errorf("dial: %w: %w", peer.ErrNotSent, context.Cause(ctx))
+			}
+			reply.(*cellpb.Reply).Body = &cellpb.Reply_Appended{
+				Appended: &cellpb.Appended{
+					Stored: true,
+				},
+			}
+			return nil
+		},
+	})
+	relay := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), attemptTimeout)
+		defer cancel()
+		return peers.RelayAppend(ctx, &cellpb.Append{Key: "job/00000000000000aa"})
+	}
+	require.ErrorIs(t, relay(), cell.ErrRejected)
+	require.ErrorIs(t, relay(), cell.ErrRejected)
+	for range 3 {
+		require.NoError(t, relay(), "once the unreachable entries are known, the others come first")
+	}
+}
