peer: start the backoff when the dial has failed

Callers would see: reports and relayed appends that wait a second for an address that doesn't answer, each time, before they go to the next one.

Cause: the backoff after a failed dial counted from before the dial. A dial without an answer takes 1 s, the longest backoff is 0.5 s, so it had always passed. Found by reading.

Change: the backoff counts from the end of the dial.

Evidence: TestBackoffStartsWhenTheDialHasFailed fails before it (2 dials instead of 1) and passes after it; the tests of peer and agent pass with the race detector.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -163,3 +163,28 @@
 	}
 	require.NoError(t, listener.Close())
 }
+
+// Guards against a backoff that has passed before the dial has failed: a dial without an answer takes longer than the
+// longest backoff, so that each call to an unreachable address would wait for another one.
+func TestBackoffStartsWhenTheDialHasFailed(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	dials := 0
+	pool := NewPool(PoolConfig{
+		Clock: clock,
+		Dial: func(context.Context, string, string) (net.Conn, error) {
+			dials++
+			clock.Advance(dialTimeout)
+			return nil, context.DeadlineExceeded
+		},
+	})
+	t.Cleanup(pool.Close)
+	for range 2 {
+		_, err := call(t.Context(), pool, "dead:1", "a")
+		require.ErrorIs(t, err, ErrNotSent)
+	}
+	require.Equal(t, 1, dials)
+	clock.Advance(2 * maxDialBackoff)
+	_, err := call(t.Context(), pool, "dead:1", "a")
+	require.ErrorIs(t, err, ErrNotSent)
+	require.Equal(t, 2, dials)
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -208,14 +208,13 @@
 	if c.session != nil && !c.session.IsClosed() {
 		return c.session, nil
 	}
-	now := c.config.Clock.Now()
-	if now.Before(c.nextDial) {
+	if c.config.Clock.Now().Before(c.nextDial) {
 		return nil, fmt.Errorf("backing off after a failed dial: %w", c.lastDialErr)
 	}
 	session, err := c.dial(ctx)
 	if err != nil {
 		c.lastDialErr = err
-		c.nextDial = now.Add(c.dialBackoff.NextBackOff())
+		c.nextDial = c.config.Clock.Now().Add(c.dialBackoff.NextBackOff())
 		return nil, err
 	}
 	c.session = session
