scheduler: count the claim delay from the newest vacancy

Callers would see: a scheduler on an entry too small for it. An entry that saw the cell without a leader, and sees it so again after another one has claimed and resigned between two of its checks, counted its claim delay from the first vacancy and claimed at once, before larger ones.

Change: a vacancy is that of one epoch.

Evidence: TestClaimDelayCountsFromTheNewestResignation fails before it (0 s in place of 320 ms). The tests of the package pass.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -26,8 +26,10 @@
 	// claimedEpoch is the epoch of this process's last claim, claimedAt when that was sent.
 	claimedEpoch int64
 	claimedAt    time.Duration
-	// vacantSince is when Run first saw that the cell has no leader; 0 while it has one.
+	// vacantSince is when this process first saw that the cell has no leader, vacantEpoch the epoch that had ended; 0
+	// before the first claim.
 	vacantSince time.Duration
+	vacantEpoch int64
 }
 
 // New returns a scheduler.
@@ -127,12 +129,11 @@
 // or of a resignation, at about the same moment.
 func (s *Scheduler) mayClaim(ctx context.Context, claim *cellpb.Claim, silence time.Duration) bool {
 	if claim.GetEpoch() != 0 && !claim.GetResigned() {
-		s.vacantSince = 0
 		return s.leaderLost(ctx, claim, silence)
 	}
 	now := s.config.BootTime.Now()
-	if s.vacantSince == 0 {
-		s.vacantSince = now
+	if s.vacantSince == 0 || s.vacantEpoch != claim.GetEpoch() {
+		s.vacantSince, s.vacantEpoch = now, claim.GetEpoch()
 	}
 	return now-s.vacantSince >= s.claimDelay()
 }
