standin: the lost end of a late start doesn't undo an acknowledged end

Cause: a start that is carried out late at the next incarnation under the same id has the run and the executor of the run that was done. When its end was lost with that incarnation, the recorder took it for the acknowledged end of the first one, and the task no longer counted as done. A start after it was then no violation either.

Change: an acknowledged end stands. The check is stricter than before: a later start of such a task counts as one after it was done.

TestLostEndOfLateStartKeepsAcknowledgedEnd fails before the change (IsDone false, no violation in both cases) and passes after it.

--- a/standin/executorserver/recorder.go
+++ b/standin/executorserver/recorder.go
@@ -211,12 +211,12 @@
 		return ended
 	})
 	r.endCounts[kind]++
-	if kind == endDone {
+	if kind == endDone && !r.done[task].isAcknowledged() {
 		r.done[task] = &taskEnd{
 			executor:        executor,
 			run:             run,
 			at:              r.clock.Now(),
-			acknowledgement: "end not acknowledged",
+			acknowledgement: notAcknowledged,
 			unfenced:        unfenced,
 		}
 	}
@@ -284,12 +284,12 @@
 
 // recordLostEnd records that an executor restarted before the end of a run was acknowledged. If the task was done with
 // that run, it may run again; if no response contained the end, the scheduler can't have stored it, and the task no
-// longer counts as done.
+// longer counts as done. An acknowledged end stands: what is lost then is that of a late start of the same run.
 func (r *Recorder) recordLostEnd(key runKey, executor string, reported bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	end := r.done[key.task]
-	if end == nil || end.run != key.run || end.executor != executor {
+	if end == nil || end.run != key.run || end.executor != executor || end.isAcknowledged() {
 		return
 	}
 	end.uncertain = true
--- a/standin/executorserver/recorder_test.go
+++ b/standin/executorserver/recorder_test.go
@@ -160,6 +160,31 @@
 	}
 }
 
+// Guards against a soak that reports a job as completed while a task isn't done: a late start of the run that was done
+// ends at the next incarnation under the same id, and that end is lost. The acknowledged end of the run still counts.
+func TestLostEndOfLateStartKeepsAcknowledgedEnd(t *testing.T) {
+	for _, lateRunEnds := range []bool{false, true} {
+		recorder := NewRecorder(clockwork.NewFakeClock())
+		key := runKey{
+			task: "a",
+			run:  2,
+		}
+		recorder.recordEnd("a", endDone, "i-1", 2)
+		recorder.recordAcknowledgedEnd(key, "i-1", false)
+		if lateRunEnds {
+			recorder.recordEnd("a", endDone, "i-1", 2)
+		}
+		recorder.recordLostEnd(key, "i-1", false)
+		assert.True(t, recorder.IsDone("a"))
+		recorder.recordStart(RunStart{
+			Task:     "a",
+			Run:      3,
+			Executor: "i-0",
+		})
+		assert.Len(t, recorder.Violations(), 1, "a start after the acknowledged end")
+	}
+}
+
 // Only a violation that involves a start which nothing can prevent counts as known: one that was carried out late,
 // before any other call had reached the incarnation. All others must fail the run.
 func TestOnlyUnfencedStartsAreKnownViolations(t *testing.T) {
--- a/standin/executorserver/taskend.go
+++ b/standin/executorserver/taskend.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// notAcknowledged is the acknowledgement of an end that no hold has acknowledged.
+const notAcknowledged = "end not acknowledged"
+
 // taskEnd is the end of the run in which a task was done.
 type taskEnd struct {
 	executor string
@@ -20,6 +23,11 @@
 }
 
 // String returns the run, its place, the time of its end and its acknowledgement.
-func (e taskEnd) String() string {
+func (e *taskEnd) String() string {
 	return fmt.Sprintf("%s run %d %s, %s", e.executor, e.run, e.at.Format(time.StampMilli), e.acknowledgement)
 }
+
+// isAcknowledged reports whether a hold has acknowledged the end; false for nil.
+func (e *taskEnd) isAcknowledged() bool {
+	return e != nil && e.acknowledgement != notAcknowledged
+}
