--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -50,7 +50,7 @@
 	// NextOperationsOffset returns the offset of the next record of the operators' log that this process will apply.
 	NextOperationsOffset func() int64
 	// Append appends records to the cell's log.
-	Append func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, expectedEnd int64) (int64, error)
+	Append func(ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64) (int64, error)
 	// Call sends a request of the peer protocol and reads the reply.
 	Call func(ctx context.Context, address string, request, reply proto.Message) error
 }
@@ -96,8 +96,8 @@
 }
 
 // RelayAppend asks the other entries of the cell, one after the other, to append a record to the cell's log. It starts
-// with those at which no append has failed or one failed longest ago: one that doesn't answer may take all the time, and
-// the others would never be asked.
+// with those at which no append has failed or one failed longest ago: one that doesn't answer may take all the time,
+// and the others would never be asked.
 func (p *PeerService) RelayAppend(ctx context.Context, request *cellpb.Append) error {
 	joinedErr := error(nil)
 	for _, address := range p.relayCandidates() {
@@ -199,7 +199,7 @@
 }
 
 func (p *PeerService) append(ctx context.Context, request *cellpb.Append) *cellpb.Reply {
-	_, err := p.config.Append(ctx, []cell.Entry{{Key: request.GetKey(), Value: request.GetValue()}}, nil, -1)
+	_, err := p.config.Append(ctx, []cell.LogRecord{{Key: request.GetKey(), Value: request.GetValue()}}, nil, -1)
 	reply := &cellpb.Reply{
 		Body: &cellpb.Reply_Appended{
 			Appended: &cellpb.Appended{
