--- a/cell/log.go
+++ b/cell/log.go
@@ -5,8 +5,8 @@
 	"fmt"
 )
 
-// Entry is one record of a keyed log. An empty value deletes the key.
-type Entry struct {
+// LogRecord is a record of a keyed log. An empty value deletes the key.
+type LogRecord struct {
 	Key    string
 	Value  []byte
 	Offset int64
@@ -16,7 +16,7 @@
 
 // Page is the result of one read.
 type Page struct {
-	Entries []Entry
+	Records []LogRecord
 	// End is the offset of the next record appended to the log.
 	End int64
 }
--- a/cell/oddrecord_test.go
+++ b/cell/oddrecord_test.go
@@ -191,12 +191,12 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			state := NewState()
-			applyEntries(t, state,
-				requireEntry(t)(ClaimEntry(&cellpb.Claim{Epoch: 5, Holder: "a"})),
-				requireEntry(t)(MemberEntry(&cellpb.Member{Id: "x", Address: "10.0.0.1:7000"})),
-				requireEntry(t)(JobEntry(jobRecord(func(*cellpb.Job) {}).GetJob())),
+			applyRecords(t, state,
+				requireRecord(t)(ClaimRecord(&cellpb.Claim{Epoch: 5, Holder: "a"})),
+				requireRecord(t)(MemberRecord(&cellpb.Member{Id: "x", Address: "10.0.0.1:7000"})),
+				requireRecord(t)(JobRecord(jobRecord(func(*cellpb.Job) {}).GetJob())),
 			)
-			_, err := state.Apply(Entry{Key: test.key, Value: test.value, Offset: offset})
+			_, err := state.Apply(LogRecord{Key: test.key, Value: test.value, Offset: offset})
 			require.Error(t, err)
 			require.EqualValues(t, 5, state.Claim().GetEpoch())
 			require.Equal(t, map[string]string{"x": "10.0.0.1:7000"}, state.Members())
@@ -213,9 +213,9 @@
 func TestHighestEpochOfAnOffsetCounts(t *testing.T) {
 	const offset = 1<<32 - 1
 	state := NewState()
-	claim := requireEntry(t)(ClaimEntry(&cellpb.Claim{Epoch: FirstEpoch(offset) + EpochsPerOffset - 1, Holder: "a"}))
+	claim := requireRecord(t)(ClaimRecord(&cellpb.Claim{Epoch: FirstEpoch(offset) + EpochsPerOffset - 1, Holder: "a"}))
 	claim.Offset = offset
-	applyEntries(t, state, claim)
+	applyRecords(t, state, claim)
 	require.Equal(t, "a", state.Claim().GetHolder())
 	fence := ExecutorFence{Epoch: state.Claim().GetEpoch(), Generation: maxGeneration}
 	require.Less(t, fence.Token(), int64(1)<<53)
@@ -224,8 +224,8 @@
 // Guards against a member that stays known after its record was deleted.
 func TestDeletedMemberIsForgotten(t *testing.T) {
 	state := NewState()
-	applyEntries(t, state,
-		requireEntry(t)(MemberEntry(&cellpb.Member{Id: "x", Address: "10.0.0.1:7000"})), Entry{Key: "entry/x"})
+	applyRecords(t, state,
+		requireRecord(t)(MemberRecord(&cellpb.Member{Id: "x", Address: "10.0.0.1:7000"})), LogRecord{Key: "entry/x"})
 	require.Empty(t, state.Members())
 }
 
@@ -237,7 +237,7 @@
 	f.Add("", []byte{})
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		state := NewState()
-		_, err := state.Apply(Entry{Key: key, Value: value, Offset: 3})
+		_, err := state.Apply(LogRecord{Key: key, Value: value, Offset: 3})
 		if err != nil {
 			require.Empty(t, state.Jobs())
 			require.Empty(t, state.Members())
--- a/cell/state.go
+++ b/cell/state.go
@@ -40,7 +40,7 @@
 	return cellpb.State_STATE_QUEUED
 }
 
-// State is the state of a cell, built by applying the entries of the cell's log. It isn't safe for concurrent use.
+// State is the state of a cell, built by applying the records of the cell's log. It isn't safe for concurrent use.
 type State struct {
 	jobs    map[string]*JobState
 	claim   *cellpb.Claim
@@ -56,74 +56,74 @@
 	}
 }
 
-// JobEntry returns the entry that stores a job.
-func JobEntry(job *cellpb.Job) (Entry, error) {
-	return newEntry(jobPrefix+job.GetId(), &cellpb.Record{Body: &cellpb.Record_Job{Job: job}})
+// JobRecord returns the record that stores a job.
+func JobRecord(job *cellpb.Job) (LogRecord, error) {
+	return newRecord(jobPrefix+job.GetId(), &cellpb.Record{Body: &cellpb.Record_Job{Job: job}})
 }
 
-// CancelEntry returns the entry that cancels a job.
-func CancelEntry(id string) (Entry, error) {
-	return newEntry(cancelPrefix+id, &cellpb.Record{Body: &cellpb.Record_Cancel{Cancel: &cellpb.Cancel{Id: id}}})
+// CancelRecord returns the record that cancels a job.
+func CancelRecord(id string) (LogRecord, error) {
+	return newRecord(cancelPrefix+id, &cellpb.Record{Body: &cellpb.Record_Cancel{Cancel: &cellpb.Cancel{Id: id}}})
 }
 
-// ProgressEntry returns the entry that records a job's progress.
-func ProgressEntry(progress *cellpb.Progress) (Entry, error) {
-	return newEntry(progressPrefix+progress.GetId(), &cellpb.Record{Body: &cellpb.Record_Progress{Progress: progress}})
+// ProgressRecord returns the record of a job's progress.
+func ProgressRecord(progress *cellpb.Progress) (LogRecord, error) {
+	return newRecord(progressPrefix+progress.GetId(), &cellpb.Record{Body: &cellpb.Record_Progress{Progress: progress}})
 }
 
-// ClaimEntry returns the entry that records a claim of leadership.
-func ClaimEntry(claim *cellpb.Claim) (Entry, error) {
-	return newEntry(claimKey, &cellpb.Record{Body: &cellpb.Record_Claim{Claim: claim}})
+// ClaimRecord returns the record of a claim of leadership.
+func ClaimRecord(claim *cellpb.Claim) (LogRecord, error) {
+	return newRecord(claimKey, &cellpb.Record{Body: &cellpb.Record_Claim{Claim: claim}})
 }
 
-// MemberEntry returns the log entry that records the address of an entry process.
-func MemberEntry(member *cellpb.Member) (Entry, error) {
-	return newEntry(memberPrefix+member.GetId(), &cellpb.Record{Body: &cellpb.Record_Member{Member: member}})
+// MemberRecord returns the record of the address of an entry process.
+func MemberRecord(member *cellpb.Member) (LogRecord, error) {
+	return newRecord(memberPrefix+member.GetId(), &cellpb.Record{Body: &cellpb.Record_Member{Member: member}})
 }
 
-// DeleteEntries returns the entries that delete a job. The job's own key is deleted first, because a job without
+// DeleteRecords returns the records that delete a job. The job's own key is deleted first, because a job without
 // progress would start from the beginning.
-func DeleteEntries(id string) []Entry {
-	return []Entry{
+func DeleteRecords(id string) []LogRecord {
+	return []LogRecord{
 		{Key: jobPrefix + id},
 		{Key: cancelPrefix + id},
 		{Key: progressPrefix + id},
 	}
 }
 
-func newEntry(key string, record *cellpb.Record) (Entry, error) {
-	value, err := proto.Marshal(record)
+func newRecord(key string, message *cellpb.Record) (LogRecord, error) {
+	value, err := proto.Marshal(message)
 	if err != nil {
-		return Entry{}, fmt.Errorf("encode %s: %w", key, err)
+		return LogRecord{}, fmt.Errorf("encode %s: %w", key, err)
 	}
-	return Entry{
+	return LogRecord{
 		Key:   key,
 		Value: value,
 	}, nil
 }
 
-// Apply applies an entry to the state and returns the id of the job that it concerns, if any. An entry that can't be
+// Apply applies a record to the state and returns the id of the job that it concerns, if any. A record that can't be
 // decoded, or that doesn't belong under its key, changes nothing.
-func (s *State) Apply(entry Entry) (string, error) {
-	if entry.Err != nil {
-		return "", fmt.Errorf("record %q at offset %d: %w", entry.Key, entry.Offset, entry.Err)
+func (s *State) Apply(record LogRecord) (string, error) {
+	if record.Err != nil {
+		return "", fmt.Errorf("record %q at offset %d: %w", record.Key, record.Offset, record.Err)
 	}
-	if entry.Key == "" {
-		return "", fmt.Errorf("record at offset %d: no key", entry.Offset)
+	if record.Key == "" {
+		return "", fmt.Errorf("record at offset %d: no key", record.Offset)
 	}
-	prefix, id := splitKey(entry.Key)
-	if len(entry.Value) == 0 {
+	prefix, id := splitKey(record.Key)
+	if len(record.Value) == 0 {
 		s.deleteKey(prefix, id)
 		return id, nil
 	}
-	record := &cellpb.Record{}
-	if err := proto.Unmarshal(entry.Value, record); err != nil {
-		return "", fmt.Errorf("decode record %q at offset %d: %w", entry.Key, entry.Offset, err)
+	message := &cellpb.Record{}
+	if err := proto.Unmarshal(record.Value, message); err != nil {
+		return "", fmt.Errorf("decode record %q at offset %d: %w", record.Key, record.Offset, err)
 	}
-	if err := validateRecord(entry, record); err != nil {
-		return "", fmt.Errorf("record %q at offset %d: %w", entry.Key, entry.Offset, err)
+	if err := validateRecord(record, message); err != nil {
+		return "", fmt.Errorf("record %q at offset %d: %w", record.Key, record.Offset, err)
 	}
-	return s.applyRecord(id, record), nil
+	return s.applyRecord(id, message), nil
 }
 
 // Claim returns the claim with the highest epoch.
@@ -168,8 +168,8 @@
 }
 
 // applyRecord applies a valid record and returns the id of the job that it concerns, if any.
-func (s *State) applyRecord(id string, record *cellpb.Record) string {
-	switch body := record.GetBody().(type) {
+func (s *State) applyRecord(id string, message *cellpb.Record) string {
+	switch body := message.GetBody().(type) {
 	case *cellpb.Record_Claim:
 		if body.Claim.GetEpoch() >= s.claim.GetEpoch() {
 			s.claim = body.Claim
--- a/cell/state_test.go
+++ b/cell/state_test.go
@@ -8,56 +8,56 @@
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
-func applyEntries(t *testing.T, state *State, entries ...Entry) {
+func applyRecords(t *testing.T, state *State, records ...LogRecord) {
 	t.Helper()
-	for _, entry := range entries {
-		_, err := state.Apply(entry)
+	for _, record := range records {
+		_, err := state.Apply(record)
 		require.NoError(t, err)
 	}
 }
 
-func requireEntry(t *testing.T) func(entry Entry, err error) Entry {
+func requireRecord(t *testing.T) func(record LogRecord, err error) LogRecord {
 	t.Helper()
-	return func(entry Entry, err error) Entry {
+	return func(record LogRecord, err error) LogRecord {
 		require.NoError(t, err)
-		return entry
+		return record
 	}
 }
 
 // The reported state of a job must depend only on the log, in whatever order the records of the job arrive.
 func TestJobState(t *testing.T) {
 	const id = "00000000000000aa"
-	job := requireEntry(t)(JobEntry(&cellpb.Job{
+	job := requireRecord(t)(JobRecord(&cellpb.Job{
 		Id:          id,
 		Queue:       "q",
 		Occurrences: 1,
 		Steps:       []*cellpb.Step{{Count: 1}},
 	}))
-	cancel := requireEntry(t)(CancelEntry(id))
-	begun := requireEntry(t)(ProgressEntry(&cellpb.Progress{Id: id, State: cellpb.State_STATE_RUNNING, Begun: true}))
-	done := requireEntry(t)(ProgressEntry(&cellpb.Progress{Id: id, State: cellpb.State_STATE_DONE, Begun: true}))
+	cancel := requireRecord(t)(CancelRecord(id))
+	begun := requireRecord(t)(ProgressRecord(&cellpb.Progress{Id: id, State: cellpb.State_STATE_RUNNING, Begun: true}))
+	done := requireRecord(t)(ProgressRecord(&cellpb.Progress{Id: id, State: cellpb.State_STATE_DONE, Begun: true}))
 	tests := []struct {
 		name    string
-		entries []Entry
+		records []LogRecord
 		want    cellpb.State
 		pending int
 	}{
-		{name: "accepted", entries: []Entry{job}, want: cellpb.State_STATE_QUEUED, pending: 1},
-		{name: "begun", entries: []Entry{job, begun}, want: cellpb.State_STATE_RUNNING},
-		{name: "done", entries: []Entry{job, begun, done}, want: cellpb.State_STATE_DONE},
-		{name: "accepted again after its end", entries: []Entry{job, done, job}, want: cellpb.State_STATE_DONE},
-		{name: "cancelled before the record came", entries: []Entry{cancel, job}, want: cellpb.State_STATE_CANCELLED},
-		{name: "cancelled after its end", entries: []Entry{job, done, cancel}, want: cellpb.State_STATE_DONE},
+		{name: "accepted", records: []LogRecord{job}, want: cellpb.State_STATE_QUEUED, pending: 1},
+		{name: "begun", records: []LogRecord{job, begun}, want: cellpb.State_STATE_RUNNING},
+		{name: "done", records: []LogRecord{job, begun, done}, want: cellpb.State_STATE_DONE},
+		{name: "accepted again after its end", records: []LogRecord{job, done, job}, want: cellpb.State_STATE_DONE},
+		{name: "cancelled before the record came", records: []LogRecord{cancel, job}, want: cellpb.State_STATE_CANCELLED},
+		{name: "cancelled after its end", records: []LogRecord{job, done, cancel}, want: cellpb.State_STATE_DONE},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			state := NewState()
-			applyEntries(t, state, test.entries...)
+			applyRecords(t, state, test.records...)
 			jobState, ok := state.Job(id)
 			require.True(t, ok)
 			require.Equal(t, test.want, jobState.State())
 			require.Equal(t, test.pending, state.Pending("q"))
-			applyEntries(t, state, DeleteEntries(id)...)
+			applyRecords(t, state, DeleteRecords(id)...)
 			_, ok = state.Job(id)
 			require.False(t, ok)
 		})
@@ -67,16 +67,16 @@
 // A scheduler that was replaced must not count as the leader because its claim is read last.
 func TestOlderClaimIsIgnored(t *testing.T) {
 	state := NewState()
-	newer := requireEntry(t)(ClaimEntry(&cellpb.Claim{Epoch: 7, Holder: "b"}))
-	older := requireEntry(t)(ClaimEntry(&cellpb.Claim{Epoch: 5, Holder: "a"}))
-	applyEntries(t, state, newer, older)
+	newer := requireRecord(t)(ClaimRecord(&cellpb.Claim{Epoch: 7, Holder: "b"}))
+	older := requireRecord(t)(ClaimRecord(&cellpb.Claim{Epoch: 5, Holder: "a"}))
+	applyRecords(t, state, newer, older)
 	require.Equal(t, "b", state.Claim().GetHolder())
 }
 
 func TestInvalidRecordIsIgnored(t *testing.T) {
 	state := NewState()
 	for _, value := range []string{"\xff\xff", "\x0a"} {
-		_, err := state.Apply(Entry{Key: "job/x", Value: []byte(value)})
+		_, err := state.Apply(LogRecord{Key: "job/x", Value: []byte(value)})
 		require.Error(t, err)
 	}
 	require.Empty(t, state.Jobs())
--- a/cell/validate_test.go
+++ b/cell/validate_test.go
@@ -88,10 +88,10 @@
 		t.Run(test.name, func(t *testing.T) {
 			job := validJob()
 			test.change(job)
-			entry, err := JobEntry(job)
+			record, err := JobRecord(job)
 			require.NoError(t, err)
 			state := NewState()
-			_, err = state.Apply(entry)
+			_, err = state.Apply(record)
 			require.Error(t, err)
 			require.Empty(t, state.Jobs())
 		})
--- a/cell/validaterecord.go
+++ b/cell/validaterecord.go
@@ -16,16 +16,16 @@
 // errWrongKey means that a record of this kind doesn't belong under its key.
 var errWrongKey = errors.New("record doesn't belong under this key")
 
-// validateRecord returns why a record isn't one that this program writes under the key of entry, or nil. Another writer
+// validateRecord returns why a record isn't one that this program writes under its key, or nil. Another writer
 // may have left it there.
-func validateRecord(entry Entry, record *cellpb.Record) error {
-	prefix, id := splitKey(entry.Key)
-	switch body := record.GetBody().(type) {
+func validateRecord(record LogRecord, message *cellpb.Record) error {
+	prefix, id := splitKey(record.Key)
+	switch body := message.GetBody().(type) {
 	case *cellpb.Record_Claim:
-		if entry.Key != claimKey {
+		if record.Key != claimKey {
 			return errWrongKey
 		}
-		return validateClaim(body.Claim, entry.Offset)
+		return validateClaim(body.Claim, record.Offset)
 	case *cellpb.Record_Member:
 		if prefix != memberPrefix || id == "" || body.Member.GetId() != id {
 			return errWrongKey
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -68,10 +68,10 @@
 		process: process,
 		cellLog: store.Topic(cellTopic),
 		mirror: mirror.New(mirror.Config{
-			Logger:     process.logger,
-			BootTime:   bootClock,
-			Metrics:    process.metrics.Scope,
-			ApplyEntry: platform.ApplyOperation,
+			Logger:      process.logger,
+			BootTime:    bootClock,
+			Metrics:     process.metrics.Scope,
+			ApplyRecord: platform.ApplyOperation,
 		}),
 	}
 	e.operationsFollower = c.newFollower(process.logger, bootClock, "operations", operationsPollTimeout,
@@ -146,7 +146,7 @@
 
 func (c *Config) newFollower(
 	logger hclog.Logger, bootClock boottime.Clock, name string, wait time.Duration, topic *platform.Topic,
-	apply func(entries []cell.Entry, reset bool), pause func() time.Duration,
+	apply func(records []cell.LogRecord, reset bool), pause func() time.Duration,
 ) *logfollower.Follower {
 	return logfollower.New(logfollower.Config{
 		Name:       name,
@@ -284,7 +284,7 @@
 // announceMember writes the address of this entry to the cell's log, where other entries find it, and retries until it
 // succeeds.
 func (e *entry) announceMember(ctx context.Context, c *Config) {
-	entry, err := cell.MemberEntry(&cellpb.Member{
+	record, err := cell.MemberRecord(&cellpb.Member{
 		Id:      e.read.ID,
 		Address: e.read.Listen,
 	})
@@ -294,7 +294,7 @@
 	}
 	for ctx.Err() == nil {
 		appendCtx, cancel := context.WithTimeout(ctx, time.Second)
-		_, err = e.cellLog.Append(appendCtx, []cell.Entry{entry}, nil, -1)
+		_, err = e.cellLog.Append(appendCtx, []cell.LogRecord{record}, nil, -1)
 		cancel()
 		if err == nil {
 			return
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -65,16 +65,16 @@
 func startStore(env *testscript.Env, members ...string) (string, error) {
 	store := storeserver.New(clockwork.NewRealClock())
 	for i, address := range members {
-		entry, err := cell.MemberEntry(&cellpb.Member{
+		record, err := cell.MemberRecord(&cellpb.Member{
 			Id:      fmt.Sprintf("entry-%d", i+1),
 			Address: address,
 		})
 		if err != nil {
 			return "", fmt.Errorf("member: %w", err)
 		}
-		store.Append(cellTopic, entry.Key, entry.Value)
+		store.Append(cellTopic, record.Key, record.Value)
 	}
-	job, err := cell.JobEntry(&cellpb.Job{
+	job, err := cell.JobRecord(&cellpb.Job{
 		Id:          "00000000000000aa",
 		Queue:       "quotes",
 		Workspace:   "weddings",
--- a/cmd/storeconn.go
+++ b/cmd/storeconn.go
@@ -57,8 +57,8 @@
 		Author:      currentUsername(),
 		Operations:  newKeyedLog(store.Operations()),
 		Documents:   newKeyedLog(store.Topic(documentTopic)),
-		ApplyEntry:  platform.ApplyOperation,
-		DiffEntries: platform.DiffOperations,
+		ApplyRecord: platform.ApplyOperation,
+		DiffRecords: platform.DiffOperations,
 	})
 	conn.rollout = operator.NewRolloutWaiter(operator.RolloutWaiterConfig{
 		Clock:      c.Clock,
@@ -85,13 +85,13 @@
 		return nil, nil, fmt.Errorf("read cell state: %w", err)
 	}
 	state = cell.NewState()
-	for _, entry := range page.Entries {
-		if _, applyErr := state.Apply(entry); applyErr != nil {
+	for _, record := range page.Records {
+		if _, applyErr := state.Apply(record); applyErr != nil {
 			// Entries skip such a record as well.
-			s.logger.Warn("skipping invalid record in cell log", "key", entry.Key, "offset", entry.Offset,
+			s.logger.Warn("skipping invalid record in cell log", "key", record.Key, "offset", record.Offset,
 				"error", applyErr)
-			if cell.IsMemberKey(entry.Key) {
-				invalidMembers = append(invalidMembers, entry.Key)
+			if cell.IsMemberKey(record.Key) {
+				invalidMembers = append(invalidMembers, record.Key)
 			}
 		}
 	}
--- a/gateway/capacity_test.go
+++ b/gateway/capacity_test.go
@@ -40,9 +40,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			f := newGatewayFixture(t)
 			f.appendErrs = []error{nil}
-			claim, err := cell.ClaimEntry(&cellpb.Claim{Epoch: 1, Capacities: test.capacities})
+			claim, err := cell.ClaimRecord(&cellpb.Claim{Epoch: 1, Capacities: test.capacities})
 			require.NoError(t, err)
-			f.mirror.ApplyCell([]cell.Entry{claim}, false)
+			f.mirror.ApplyCell([]cell.LogRecord{claim}, false)
 			test.step.Count = 1
 			response := f.gateway.Submit(t.Context(), cell.Call{
 				Host:    "h",
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -57,7 +57,7 @@
 	// KeyRevocationLimit is the longest time for which a removed API key may still be accepted.
 	KeyRevocationLimit time.Duration
 	// Append appends records to the cell's log.
-	Append func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, expectedEnd int64) (int64, error)
+	Append func(ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64) (int64, error)
 	// RelayAppend asks the other entries of the cell to append a record. Its errors are those of Append.
 	RelayAppend func(ctx context.Context, request *cellpb.Append) error
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,12 +118,12 @@
 	job.MaxFailures = int32(queue.MaxFailures)
 	job.Stretch = queue.Stretch
 	job.SlackMs = queue.Slack.Milliseconds()
-	entry, err := cell.JobEntry(job)
+	record, err := cell.JobRecord(job)
 	if err != nil {
 		g.config.Logger.Error("failed to encode job", "job", id, "error", err)
 		return invalidResponse(reasonNotStorable)
 	}
-	response := g.appendUntilStored(ctx, call, entry, func() bool {
+	response := g.appendUntilStored(ctx, call, record, func() bool {
 		_, ok := g.config.Mirror.Job(id)
 		return ok
 	})
@@ -136,12 +136,12 @@
 	if jobState.State() == cellpb.State_STATE_CANCELLED {
 		return cell.Response{}
 	}
-	entry, err := cell.CancelEntry(id)
+	record, err := cell.CancelRecord(id)
 	if err != nil {
 		g.config.Logger.Error("failed to encode cancellation", "job", id, "error", err)
 		return invalidResponse("the cancellation can't be stored")
 	}
-	response := g.appendUntilStored(ctx, call, entry, func() bool {
+	response := g.appendUntilStored(ctx, call, record, func() bool {
 		current, _ := g.config.Mirror.Job(id)
 		return current.Cancelled
 	})
@@ -235,11 +235,11 @@
 	}
 }
 
-// appendUntilStored appends an entry to the cell's log, directly or through the other entries of the cell, until it is
+// appendUntilStored appends a record to the cell's log, directly or through the other entries of the cell, until it is
 // stored, rejected for longer than rejectionRetryWindow, or the caller's timeout is near. Retries are safe, because the
 // log keeps one value per key.
 func (g *Gateway) appendUntilStored(
-	ctx context.Context, call cell.Call, entry cell.Entry, isStored func() bool,
+	ctx context.Context, call cell.Call, record cell.LogRecord, isStored func() bool,
 ) cell.Response {
 	start := g.config.BootTime.Now()
 	deadline := start + call.Timeout - replyMargin
@@ -250,7 +250,7 @@
 		if remaining <= 0 || ctx.Err() != nil {
 			break
 		}
-		err := g.appendOnce(ctx, entry, attempt, min(timeout, remaining))
+		err := g.appendOnce(ctx, record, attempt, min(timeout, remaining))
 		if err == nil || isStored() {
 			g.config.Metrics.Timer("store").Record(g.config.BootTime.Now() - start)
 			return cell.Response{}
@@ -260,7 +260,7 @@
 			timeout *= 2
 		}
 		g.config.Logger.Warn("append to the log failed",
-			"key", entry.Key, "try", attempt, "unknown", outcomeUnknown, "error", err)
+			"key", record.Key, "try", attempt, "unknown", outcomeUnknown, "error", err)
 		if !outcomeUnknown && (g.storeUnreachable() || g.config.BootTime.Now()-start > rejectionRetryWindow) {
 			// Nothing was stored, so the caller can safely retry at another entry.
 			break
@@ -293,16 +293,16 @@
 
 // appendOnce makes one append attempt. Attempts alternate between the store and the relay; while the store is
 // unreachable, all use the relay.
-func (g *Gateway) appendOnce(ctx context.Context, entry cell.Entry, attempt int, timeout time.Duration) error {
+func (g *Gateway) appendOnce(ctx context.Context, record cell.LogRecord, attempt int, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if g.config.RelayAppend != nil && (attempt%2 == 1 || g.storeUnreachable()) {
 		return g.config.RelayAppend(ctx, &cellpb.Append{
-			Key:   entry.Key,
-			Value: entry.Value,
+			Key:   record.Key,
+			Value: record.Value,
 		})
 	}
-	_, err := g.config.Append(ctx, []cell.Entry{entry}, nil, -1)
+	_, err := g.config.Append(ctx, []cell.LogRecord{record}, nil, -1)
 	return err
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -42,7 +42,7 @@
 	f.mirror = mirror.New(mirror.Config{
 		Logger:   hclog.NewNullLogger(),
 		BootTime: boottime.NewClock(),
-		ApplyEntry: func(operations cell.Operations, _ cell.Entry) (cell.Operations, error) {
+		ApplyRecord: func(operations cell.Operations, _ cell.LogRecord) (cell.Operations, error) {
 			return operations.WithConfig(cell.Config{
 				Version:    3,
 				Queues:     []cell.Queue{{Name: "quotes", Host: "h", Prefix: "/q/", Service: "desk"}},
@@ -59,7 +59,7 @@
 		OperationsAge:      func() (time.Duration, bool) { return f.age, true },
 		StateAge:           func() (time.Duration, bool) { return f.age, true },
 		KeyRevocationLimit: 5 * time.Second,
-		Append: func(context.Context, []cell.Entry, *cell.Fence, int64) (int64, error) {
+		Append: func(context.Context, []cell.LogRecord, *cell.Fence, int64) (int64, error) {
 			err := f.appendErrs[0]
 			if len(f.appendErrs) > 1 {
 				f.appendErrs = f.appendErrs[1:]
@@ -71,7 +71,7 @@
 			return f.relayErr
 		},
 	})
-	f.mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
+	f.mirror.ApplyOperations([]cell.LogRecord{{Key: "config"}}, true)
 	return f
 }
 
@@ -91,14 +91,14 @@
 // storeJob puts a job of a workspace into the mirror.
 func (f *gatewayFixture) storeJob(t *testing.T, workspace string) {
 	t.Helper()
-	entry, err := cell.JobEntry(&cellpb.Job{
+	record, err := cell.JobRecord(&cellpb.Job{
 		Id:          testJobID,
 		Workspace:   workspace,
 		Occurrences: 1,
 		Steps:       []*cellpb.Step{{Count: 1}},
 	})
 	require.NoError(t, err)
-	f.mirror.ApplyCell([]cell.Entry{entry}, false)
+	f.mirror.ApplyCell([]cell.LogRecord{record}, false)
 }
 
 // Guards against the outcome "not run" for a job that may run: after an append with an unknown outcome, no rejection of
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -22,21 +22,21 @@
 func newMirror(t *testing.T) *mirror.Mirror {
 	t.Helper()
 	return mirror.New(mirror.Config{
-		Logger:     hclog.NewNullLogger(),
-		BootTime:   boottime.NewClock(),
-		ApplyEntry: func(operations cell.Operations, _ cell.Entry) (cell.Operations, error) { return operations, nil },
+		Logger:      hclog.NewNullLogger(),
+		BootTime:    boottime.NewClock(),
+		ApplyRecord: func(operations cell.Operations, _ cell.LogRecord) (cell.Operations, error) { return operations, nil },
 	})
 }
 
 func applyClaim(t *testing.T, target *mirror.Mirror, epoch int64, address string) {
 	t.Helper()
-	entry, err := cell.ClaimEntry(&cellpb.Claim{
+	record, err := cell.ClaimRecord(&cellpb.Claim{
 		Epoch:   epoch,
 		Holder:  address,
 		Address: address,
 	})
 	require.NoError(t, err)
-	target.ApplyCell([]cell.Entry{entry}, false)
+	target.ApplyCell([]cell.LogRecord{record}, false)
 }
 
 // Guards against a replaced scheduler that keeps its agents: while it can't reach the store, it can't read the new
--- a/logfollower/follower.go
+++ b/logfollower/follower.go
@@ -43,8 +43,8 @@
 	Wait       time.Duration
 	ReadLatest func(ctx context.Context) (cell.Page, error)
 	Read       func(ctx context.Context, from int64, wait time.Duration) (cell.Page, error)
-	// Apply receives entries in order. With reset, they replace everything applied before.
-	Apply func(entries []cell.Entry, reset bool)
+	// Apply receives records in order. With reset, they replace everything applied before.
+	Apply func(records []cell.LogRecord, reset bool)
 	// Pause returns how long to wait after a poll that returned records, so that the next one returns more at once; nil
 	// means no pause. AwaitOffset ends a pause.
 	Pause func() time.Duration
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	f.config.Apply(page.Entries, true)
+	f.config.Apply(page.Records, true)
 	f.advance(page.End, sentAt, true)
 	return nil
 }
@@ -166,10 +166,10 @@
 	if err != nil {
 		return 0, err
 	}
-	nextOffset := from + int64(len(page.Entries))
-	f.config.Apply(page.Entries, false)
+	nextOffset := from + int64(len(page.Records))
+	f.config.Apply(page.Records, false)
 	f.advance(nextOffset, sentAt, nextOffset >= page.End)
-	return len(page.Entries), nil
+	return len(page.Records), nil
 }
 
 // pause waits after a poll that returned records, unless a caller waits for an offset.
--- a/logfollower/follower_test.go
+++ b/logfollower/follower_test.go
@@ -41,14 +41,14 @@
 		Wait:       300 * time.Millisecond,
 		ReadLatest: topic.ReadLatest,
 		Read:       topic.Read,
-		Apply: func(entries []cell.Entry, reset bool) {
+		Apply: func(records []cell.LogRecord, reset bool) {
 			mu.Lock()
 			defer mu.Unlock()
 			if reset {
 				applied = map[string]string{}
 			}
-			for _, entry := range entries {
-				applied[entry.Key] = string(entry.Value)
+			for _, record := range records {
+				applied[record.Key] = string(record.Value)
 			}
 		},
 	})
@@ -109,7 +109,7 @@
 			reads.Add(1)
 			return topic.Read(ctx, from, wait)
 		},
-		Apply: func([]cell.Entry, bool) {},
+		Apply: func([]cell.LogRecord, bool) {},
 		Pause: func() time.Duration { return pause },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	m := mirror.New(mirror.Config{
-//		ApplyEntry: platform.ApplyOperation,
+//		ApplyRecord: platform.ApplyOperation,
 //	})
 //	follower := logfollower.New(logfollower.Config{Apply: m.ApplyCell})
 //	m.View(func(state *cell.State) { ... })
@@ -39,9 +39,9 @@
 	BootTime boottime.Clock
 	// Metrics counts invalid records; nil means no metrics.
 	Metrics tally.Scope
-	// ApplyEntry returns the operations with an entry of the operators' log applied. An error says what of the entry was
+	// ApplyRecord returns the operations with a record of the operators' log applied. An error says what of the record was
 	// left out; the returned operations hold in any case.
-	ApplyEntry func(operations cell.Operations, entry cell.Entry) (cell.Operations, error)
+	ApplyRecord func(operations cell.Operations, record cell.LogRecord) (cell.Operations, error)
 }
 
 // Mirror is a local copy of the state of both logs. It is safe for concurrent use.
@@ -78,41 +78,41 @@
 	}
 }
 
-// ApplyCell applies entries of the cell's log.
-func (m *Mirror) ApplyCell(entries []cell.Entry, reset bool) {
+// ApplyCell applies records of the cell's log.
+func (m *Mirror) ApplyCell(records []cell.LogRecord, reset bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if reset {
 		m.state = cell.NewState()
 		m.schedulerSeenAt = m.config.BootTime.Now()
 	}
-	for _, entry := range entries {
-		m.applyCellEntry(entry)
+	for _, record := range records {
+		m.applyCellEntry(record)
 	}
 	m.signalChange()
 }
 
-// ApplyOperations applies entries of the operators' log.
-func (m *Mirror) ApplyOperations(entries []cell.Entry, reset bool) {
+// ApplyOperations applies records of the operators' log.
+func (m *Mirror) ApplyOperations(records []cell.LogRecord, reset bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	operations := m.operations
 	if reset {
-		// After a reset, a zone without an entry is back in service. The configuration is kept, because its version
+		// After a reset, a zone without a record is back in service. The configuration is kept, because its version
 		// never decreases.
 		operations.EvacuatedZones = nil
 	}
-	for _, entry := range entries {
+	for _, record := range records {
 		err := m.confinePanic(func() error {
 			var err error
-			operations, err = m.config.ApplyEntry(operations, entry)
+			operations, err = m.config.ApplyRecord(operations, record)
 			return err
 		})
 		if err != nil {
-			m.reportInvalid(operationsLogName, entry, err)
+			m.reportInvalid(operationsLogName, record, err)
 		}
 	}
-	if operations.Config.Version != m.operations.Config.Version || len(entries) > 0 {
+	if operations.Config.Version != m.operations.Config.Version || len(records) > 0 {
 		m.config.Logger.Info("operations changed",
 			"version", operations.Config.Version, "evacuated", operations.EvacuatedZones)
 	}
@@ -183,27 +183,27 @@
 	visit(m.state)
 }
 
-// applyCellEntry applies an entry of the cell's log. The caller holds the mutex.
-func (m *Mirror) applyCellEntry(entry cell.Entry) {
+// applyCellEntry applies a record of the cell's log. The caller holds the mutex.
+func (m *Mirror) applyCellEntry(record cell.LogRecord) {
 	previousEpoch := m.state.Claim().GetEpoch()
 	id := ""
 	err := m.confinePanic(func() error {
 		var err error
-		id, err = m.state.Apply(entry)
+		id, err = m.state.Apply(record)
 		return err
 	})
 	if err != nil {
-		m.reportInvalid(cellLogName, entry, err)
+		m.reportInvalid(cellLogName, record, err)
 		return
 	}
 	if claim := m.state.Claim(); claim.GetEpoch() != previousEpoch {
 		m.config.Logger.Info("new scheduler", "epoch", claim.GetEpoch(), "holder", claim.GetHolder(),
-			"offset", entry.Offset)
+			"offset", record.Offset)
 	}
 	if id != "" {
 		m.changedJobs[id] = true
 	}
-	if cell.IsSchedulerKey(entry.Key) {
+	if cell.IsSchedulerKey(record.Key) {
 		m.schedulerSeenAt = m.config.BootTime.Now()
 	}
 }
@@ -216,14 +216,14 @@
 
 // reportInvalid logs and counts an entry that is skipped as invalid, unless it was reported before. The caller holds
 // the mutex.
-func (m *Mirror) reportInvalid(log string, entry cell.Entry, err error) {
-	if !m.reported[log].add(entry.Offset) {
+func (m *Mirror) reportInvalid(log string, record cell.LogRecord, err error) {
+	if !m.reported[log].add(record.Offset) {
 		return
 	}
 	m.config.Metrics.Tagged(map[string]string{
 		"log": log,
 	}).Counter("invalid_records").Inc(1)
-	m.config.Logger.Warn("skipping invalid record in "+log+" log", "key", shorten(entry.Key), "offset", entry.Offset,
+	m.config.Logger.Warn("skipping invalid record in "+log+" log", "key", shorten(record.Key), "offset", record.Offset,
 		"error", shorten(err.Error()))
 }
 
--- a/mirror/oddrecord_test.go
+++ b/mirror/oddrecord_test.go
@@ -23,15 +23,15 @@
 func TestOddRecordIsReportedOnce(t *testing.T) {
 	tests := []struct {
 		name  string
-		apply func(operations cell.Operations, entry cell.Entry) (cell.Operations, error)
+		apply func(operations cell.Operations, record cell.LogRecord) (cell.Operations, error)
 	}{
 		{
 			name:  "rejected",
-			apply: func(operations cell.Operations, _ cell.Entry) (cell.Operations, error) { return operations, errOdd },
+			apply: func(operations cell.Operations, _ cell.LogRecord) (cell.Operations, error) { return operations, errOdd },
 		},
 		{
 			name:  "panic of the decoder",
-			apply: func(cell.Operations, cell.Entry) (cell.Operations, error) { panic("odd record") },
+			apply: func(cell.Operations, cell.LogRecord) (cell.Operations, error) { panic("odd record") },
 		},
 	}
 	for _, test := range tests {
@@ -42,27 +42,27 @@
 				Logger:   hclog.New(&hclog.LoggerOptions{Output: logs, JSONFormat: true}),
 				BootTime: boottime.NewClock(),
 				Metrics:  metrics,
-				ApplyEntry: func(operations cell.Operations, entry cell.Entry) (cell.Operations, error) {
-					if entry.Key == "odd" {
-						return test.apply(operations, entry)
+				ApplyRecord: func(operations cell.Operations, record cell.LogRecord) (cell.Operations, error) {
+					if record.Key == "odd" {
+						return test.apply(operations, record)
 					}
-					return operations.WithZone(entry.Key, true), nil
+					return operations.WithZone(record.Key, true), nil
 				},
 			})
-			entries := []cell.Entry{
+			records := []cell.LogRecord{
 				{Key: "a", Value: []byte("1"), Offset: 40},
 				{Key: "odd", Value: []byte("1"), Offset: 41},
 				{Key: "b", Value: []byte("1"), Offset: 42},
 			}
 			for range 3 {
-				m.ApplyOperations(entries, true)
+				m.ApplyOperations(records, true)
 				require.Equal(t, map[string]bool{"a": true, "b": true}, m.Operations().EvacuatedZones)
 			}
 			require.Equal(t, 1, strings.Count(logs.String(), "skipping invalid record in operations log"), logs.String())
 			require.Contains(t, logs.String(), `"offset":41`)
 			require.EqualValues(t, 1, metrics.Snapshot().Counters()["invalid_records+log=operations"].Value())
 
-			m.ApplyOperations([]cell.Entry{{Key: "odd", Value: []byte("1"), Offset: 50}}, false)
+			m.ApplyOperations([]cell.LogRecord{{Key: "odd", Value: []byte("1"), Offset: 50}}, false)
 			require.Equal(t, 2, strings.Count(logs.String(), "skipping invalid record in operations log"),
 				"the next odd record is another one")
 		})
@@ -79,7 +79,7 @@
 		Metrics:  metrics,
 	})
 	for range 3 {
-		m.ApplyCell([]cell.Entry{
+		m.ApplyCell([]cell.LogRecord{
 			{Key: "job/1", Value: []byte(strings.Repeat("[", 1<<20)), Offset: 7},
 			{Offset: 8, Err: errOdd},
 		}, true)
--- a/operator/doc.go
+++ b/operator/doc.go
@@ -8,8 +8,8 @@
 //	publisher := operator.NewPublisher(operator.PublisherConfig{
 //		Operations:  operations,
 //		Documents:   documents,
-//		ApplyEntry:  platform.ApplyOperation,
-//		DiffEntries: platform.DiffOperations,
+//		ApplyRecord: platform.ApplyOperation,
+//		DiffRecords: platform.DiffOperations,
 //	})
 //	current, err := publisher.Current(ctx)
 //	published, err := publisher.Publish(ctx, current.Revision, text)
--- a/operator/publisher.go
+++ b/operator/publisher.go
@@ -32,7 +32,7 @@
 // KeyedLog is a keyed log of the store.
 type KeyedLog struct {
 	ReadLatest func(ctx context.Context) (cell.Page, error)
-	Append     func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, expectedEnd int64) (int64, error)
+	Append     func(ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64) (int64, error)
 }
 
 // PublisherConfig configures a Publisher.
@@ -44,11 +44,11 @@
 	// Operations is the operators' log, Documents the log that stores the texts.
 	Operations KeyedLog
 	Documents  KeyedLog
-	// ApplyEntry returns operations with an entry of the operators' log applied. An error says what of the entry was left
-	// out; the returned operations hold in any case.
-	ApplyEntry func(operations cell.Operations, entry cell.Entry) (cell.Operations, error)
-	// DiffEntries returns the entries to append to the current ones to arrive at next.
-	DiffEntries func(current []cell.Entry, next cell.Operations) ([]cell.Entry, error)
+	// ApplyRecord returns operations with a record of the operators' log applied. An error says what of the record was
+	// left out; the returned operations hold in any case.
+	ApplyRecord func(operations cell.Operations, record cell.LogRecord) (cell.Operations, error)
+	// DiffRecords returns the records to append to the current ones to arrive at next.
+	DiffRecords func(current []cell.LogRecord, next cell.Operations) ([]cell.LogRecord, error)
 }
 
 // Publisher reads and publishes documents.
@@ -73,11 +73,11 @@
 		operationsPage: operationsPage,
 	}
 	skipped := false
-	for _, entry := range operationsPage.Entries {
-		operations, applyErr := p.config.ApplyEntry(current.Operations, entry)
+	for _, record := range operationsPage.Records {
+		operations, applyErr := p.config.ApplyRecord(current.Operations, record)
 		if applyErr != nil {
 			// Entries skip it as well. An operator must be able to publish over it.
-			p.config.Logger.Warn("skipping invalid record in operations log", "key", entry.Key, "offset", entry.Offset,
+			p.config.Logger.Warn("skipping invalid record in operations log", "key", record.Key, "offset", record.Offset,
 				"error", applyErr)
 			skipped = true
 		}
@@ -113,18 +113,18 @@
 		return nil, fmt.Errorf("read the document log: %w", err)
 	}
 	var history []Revision
-	for _, entry := range page.Entries {
-		record := &cellpb.Record{}
-		err = errors.Join(entry.Err, proto.Unmarshal(entry.Value, record))
-		if err != nil || record.GetDocument() == nil {
-			p.config.Logger.Warn("skipping invalid record in document log", "key", entry.Key, "offset", entry.Offset,
+	for _, record := range page.Records {
+		message := &cellpb.Record{}
+		err = errors.Join(record.Err, proto.Unmarshal(record.Value, message))
+		if err != nil || message.GetDocument() == nil {
+			p.config.Logger.Warn("skipping invalid record in document log", "key", record.Key, "offset", record.Offset,
 				"error", err)
 			continue
 		}
-		stored := record.GetDocument()
-		if entry.Key != documentKey(stored.GetRevision()) {
-			p.config.Logger.Warn("skipping record under another revision's key in document log", "key", entry.Key,
-				"offset", entry.Offset)
+		stored := message.GetDocument()
+		if record.Key != documentKey(stored.GetRevision()) {
+			p.config.Logger.Warn("skipping record under another revision's key in document log", "key", record.Key,
+				"offset", record.Offset)
 			continue
 		}
 		history = append(history, Revision{
@@ -176,25 +176,25 @@
 func (p *Publisher) append(
 	ctx context.Context, current Document, next cell.Operations,
 ) (PublishResult, error) {
-	entries, err := p.config.DiffEntries(current.operationsPage.Entries, next)
+	records, err := p.config.DiffRecords(current.operationsPage.Records, next)
 	if err != nil {
 		return PublishResult{}, fmt.Errorf("publish: %w", err)
 	}
-	offset, err := p.config.Operations.Append(ctx, entries, nil, current.operationsPage.End)
+	offset, err := p.config.Operations.Append(ctx, records, nil, current.operationsPage.End)
 	if err != nil && !errors.Is(err, cell.ErrOutcomeUnknown) {
 		return PublishResult{}, fmt.Errorf("nothing was published: %w", err)
 	}
 	published := PublishResult{
 		Revision: next.Config.Version,
-		Offset:   offset + int64(len(entries)) - 1,
+		Offset:   offset + int64(len(records)) - 1,
 	}
 	if err == nil {
 		return published, nil
 	}
 	// The append was conditional on the end of the log, so reading the log again shows whether it succeeded. If the
-	// entries are missing, the append may still be in progress.
+	// records are missing, the append may still be in progress.
 	reread, readErr := p.Current(ctx)
-	if readErr == nil && reread.operationsPage.End == current.operationsPage.End+int64(len(entries)) &&
+	if readErr == nil && reread.operationsPage.End == current.operationsPage.End+int64(len(records)) &&
 		equalOperations(reread.Operations, next) {
 		published.Offset = reread.operationsPage.End - 1
 		return published, nil
@@ -216,11 +216,11 @@
 		},
 	})
 	if err == nil {
-		entries := []cell.Entry{
+		records := []cell.LogRecord{
 			{Key: documentKey(revision), Value: value},
 			{Key: documentKey(revision - maxStoredDocuments)},
 		}
-		_, err = p.config.Documents.Append(ctx, entries, nil, -1)
+		_, err = p.config.Documents.Append(ctx, records, nil, -1)
 	}
 	if err != nil {
 		p.config.Logger.Warn("failed to store document text; show will print it without comments", "revision", revision,
--- a/operator/publisher_test.go
+++ b/operator/publisher_test.go
@@ -53,12 +53,12 @@
 		Author: "ana",
 		Operations: operator.KeyedLog{
 			ReadLatest: operations.ReadLatest,
-			Append: func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, expectedEnd int64) (int64, error) {
+			Append: func(ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64) (int64, error) {
 				if hook := f.beforeAppend; hook != nil {
 					f.beforeAppend = nil
 					hook()
 				}
-				offset, err := operations.Append(ctx, entries, fence, expectedEnd)
+				offset, err := operations.Append(ctx, records, fence, expectedEnd)
 				if hook := f.afterAppend; hook != nil {
 					f.afterAppend = nil
 					return 0, hook()
@@ -70,8 +70,8 @@
 			ReadLatest: documents.ReadLatest,
 			Append:     documents.Append,
 		},
-		ApplyEntry:  platform.ApplyOperation,
-		DiffEntries: platform.DiffOperations,
+		ApplyRecord: platform.ApplyOperation,
+		DiffRecords: platform.DiffOperations,
 	})
 	return f
 }
--- a/scheduler/claim_test.go
+++ b/scheduler/claim_test.go
@@ -27,7 +27,7 @@
 	now    time.Duration
 	logEnd int64
 	// unread holds the records of the log that the candidate hasn't read.
-	unread []cell.Entry
+	unread []cell.LogRecord
 	// attempts counts the attempted appends, claims those that succeeded.
 	attempts int
 	claims   int
@@ -55,7 +55,7 @@
 		Mirror: mirror.New(mirror.Config{
 			Logger:   hclog.NewNullLogger(),
 			BootTime: boot,
-			ApplyEntry: func(operations cell.Operations, _ cell.Entry) (cell.Operations, error) {
+			ApplyRecord: func(operations cell.Operations, _ cell.LogRecord) (cell.Operations, error) {
 				operations.Loaded = true
 				return operations, nil
 			},
@@ -70,7 +70,7 @@
 		HolderStopped: func(context.Context, *cellpb.Claim) bool {
 			return c.holderStopped != nil && c.holderStopped()
 		},
-		Append: func(_ context.Context, entries []cell.Entry, _ *cell.Fence, expectedEnd int64) (int64, error) {
+		Append: func(_ context.Context, records []cell.LogRecord, _ *cell.Fence, expectedEnd int64) (int64, error) {
 			c.attempts++
 			if end := c.logEnd + int64(len(c.unread)); expectedEnd != end {
 				return 0, &cell.EndMismatchError{
@@ -78,7 +78,7 @@
 				}
 			}
 			c.claims++
-			c.apply(entries...)
+			c.apply(records...)
 			return expectedEnd, nil
 		},
 	})
@@ -86,25 +86,25 @@
 }
 
 // apply appends entries to the candidate's copy of the cell's log.
-func (c *candidate) apply(entries ...cell.Entry) {
-	for _, entry := range entries {
-		entry.Offset = c.logEnd
-		c.config.Mirror.ApplyCell([]cell.Entry{entry}, false)
+func (c *candidate) apply(records ...cell.LogRecord) {
+	for _, record := range records {
+		record.Offset = c.logEnd
+		c.config.Mirror.ApplyCell([]cell.LogRecord{record}, false)
 		c.logEnd++
 	}
 }
 
-// newClaimEntry returns the log entry of a claim by another entry process.
-func newClaimEntry(t *testing.T, epoch int64, resigned bool) cell.Entry {
+// newClaimRecord returns the log record of a claim by another entry process.
+func newClaimRecord(t *testing.T, epoch int64, resigned bool) cell.LogRecord {
 	t.Helper()
-	entry, err := cell.ClaimEntry(&cellpb.Claim{
+	record, err := cell.ClaimRecord(&cellpb.Claim{
 		Epoch:    epoch,
 		Holder:   "former",
 		Address:  "former:1",
 		Resigned: resigned,
 	})
 	require.NoError(t, err)
-	return entry
+	return record
 }
 
 // claimedAfter returns how long the candidate, which checks at each tick, takes to claim the leadership.
@@ -126,10 +126,10 @@
 func TestSmallEntryLetsLargerOnesClaimFirst(t *testing.T) {
 	tests := []struct {
 		name    string
-		records []cell.Entry
+		records []cell.LogRecord
 	}{
 		{name: "first configuration"},
-		{name: "resignation", records: []cell.Entry{newClaimEntry(t, 1, true)}},
+		{name: "resignation", records: []cell.LogRecord{newClaimRecord(t, 1, true)}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -139,7 +139,7 @@
 				_, ok := c.claimLeadership(t.Context())
 				require.False(t, ok, "there is no configuration yet")
 				c.now += time.Minute
-				c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
+				c.config.Mirror.ApplyOperations([]cell.LogRecord{{Key: "config"}}, true)
 				c.apply(test.records...)
 				delays[cores] = c.claimedAfter(t)
 				require.Equal(t, 1, c.claims)
@@ -154,11 +154,11 @@
 // must not claim at the end of a log that holds another claim by then.
 func TestNoClaimAfterAnotherEntryClaimed(t *testing.T) {
 	c := newCandidate(t, largeCores)
-	c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
-	c.apply(newClaimEntry(t, 1, false))
+	c.config.Mirror.ApplyOperations([]cell.LogRecord{{Key: "config"}}, true)
+	c.apply(newClaimRecord(t, 1, false))
 	c.now += leaderProbeTimeout + c.claimDelay()
 	c.holderStopped = func() bool {
-		c.apply(newClaimEntry(t, 2, false))
+		c.apply(newClaimRecord(t, 2, false))
 		return true
 	}
 	_, leads := c.claimLeadership(t.Context())
@@ -169,7 +169,7 @@
 // Guards against a lost leader that is succeeded by an entry too small for the scheduler: the larger ones, due earlier,
 // must not lose their turn because a job was submitted after they last read the log.
 func TestClaimIsRepeatedAtTheEndOfTheLog(t *testing.T) {
-	submitted, err := cell.JobEntry(&cellpb.Job{
+	submitted, err := cell.JobRecord(&cellpb.Job{
 		Id:          "00000000000000aa",
 		Service:     "desk",
 		Occurrences: 1,
@@ -178,21 +178,21 @@
 	require.NoError(t, err)
 	tests := []struct {
 		name     string
-		unread   cell.Entry
+		unread   cell.LogRecord
 		leads    bool
 		attempts int
 	}{
 		{name: "a job was submitted", unread: submitted, leads: true, attempts: 2},
-		{name: "the leader is back", unread: newClaimEntry(t, 1, false), attempts: 1},
-		{name: "another entry claimed", unread: newClaimEntry(t, 2, false), attempts: 1},
+		{name: "the leader is back", unread: newClaimRecord(t, 1, false), attempts: 1},
+		{name: "another entry claimed", unread: newClaimRecord(t, 2, false), attempts: 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := newCandidate(t, largeCores)
-			c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
-			c.apply(newClaimEntry(t, 1, false))
+			c.config.Mirror.ApplyOperations([]cell.LogRecord{{Key: "config"}}, true)
+			c.apply(newClaimRecord(t, 1, false))
 			c.now += leaderTimeout + c.claimDelay()
-			c.unread = []cell.Entry{test.unread}
+			c.unread = []cell.LogRecord{test.unread}
 			_, leads := c.claimLeadership(t.Context())
 			require.Equal(t, test.leads, leads)
 			require.Equal(t, test.attempts, c.attempts)
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -80,7 +80,7 @@
 	// RequestAdvice asks the advice service which executors may run a step, and returns a ticket for each of them and how
 	// long the tickets are valid. It is nil if there is no such service.
 	RequestAdvice func(ctx context.Context, step string, executors []string) (map[string]string, time.Duration, error)
-	// Append appends entries to the cell's log if the log ends at expectedEnd; -1 appends unconditionally.
-	Append   func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, expectedEnd int64) (int64, error)
+	// Append appends records to the cell's log if the log ends at expectedEnd; -1 appends unconditionally.
+	Append   func(ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64) (int64, error)
 	Dispatch dispatch.Config
 }
--- a/scheduler/grants_test.go
+++ b/scheduler/grants_test.go
@@ -29,18 +29,18 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := newCandidate(t, largeCores)
 			c.config.Dispatch.LeaseDuration = 10 * time.Second
-			c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
+			c.config.Mirror.ApplyOperations([]cell.LogRecord{{Key: "config"}}, true)
 			appendClaim := c.config.Append
-			c.config.Append = func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, end int64) (int64, error) {
+			c.config.Append = func(ctx context.Context, records []cell.LogRecord, fence *cell.Fence, end int64) (int64, error) {
 				c.now += test.appendTime
-				return appendClaim(ctx, entries, fence, end)
+				return appendClaim(ctx, records, fence, end)
 			}
 			c.claimedAfter(t)
 			epoch := c.claimedEpoch
 			if test.earlierClaim {
 				c.claimedEpoch++
 			}
-			c.config.Append = func(ctx context.Context, _ []cell.Entry, _ *cell.Fence, _ int64) (int64, error) {
+			c.config.Append = func(ctx context.Context, _ []cell.LogRecord, _ *cell.Fence, _ int64) (int64, error) {
 				<-ctx.Done()
 				return 0, cell.ErrOutcomeUnknown
 			}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -132,7 +132,7 @@
 // appendClaim appends a claim if the log ends at logEnd. It returns the epoch once the log shows that the claim is the
 // newest one, and 0 if another one is.
 func (s *Scheduler) appendClaim(ctx context.Context, claim *cellpb.Claim, logEnd int64) (int64, error) {
-	entry, err := cell.ClaimEntry(claim)
+	record, err := cell.ClaimRecord(claim)
 	if err != nil {
 		s.config.Logger.Error("failed to encode claim", "error", err)
 		return 0, err
@@ -142,7 +142,7 @@
 		Epoch:    claim.GetEpoch(),
 	}
 	s.claimedEpoch, s.claimedAt = claim.GetEpoch(), s.config.BootTime.Now()
-	offset, err := s.appendOnce(ctx, []cell.Entry{entry}, fence, logEnd, maxAppendTimeout)
+	offset, err := s.appendOnce(ctx, []cell.LogRecord{record}, fence, logEnd, maxAppendTimeout)
 	if err != nil {
 		s.config.Logger.Info("failed to append claim", "epoch", claim.GetEpoch(), "error", err)
 		return 0, err
@@ -229,12 +229,12 @@
 }
 
 func (s *Scheduler) appendOnce(
-	ctx context.Context, entries []cell.Entry, fence *cell.Fence, expectedEnd int64, timeout time.Duration,
+	ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64, timeout time.Duration,
 ) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	startedAt := s.config.BootTime.Now()
-	offset, err := s.config.Append(ctx, entries, fence, expectedEnd)
+	offset, err := s.config.Append(ctx, records, fence, expectedEnd)
 	s.config.Metrics.Timer("append").Record(s.config.BootTime.Now() - startedAt)
 	return offset, err
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -63,11 +63,11 @@
 	})
 	m.topic = client.Topic("keyed.cell")
 	cellMirror := mirror.New(mirror.Config{
-		Logger:     hclog.NewNullLogger(),
-		BootTime:   boot,
-		ApplyEntry: platform.ApplyOperation,
+		Logger:      hclog.NewNullLogger(),
+		BootTime:    boot,
+		ApplyRecord: platform.ApplyOperation,
 	})
-	startFollower := func(topic *platform.Topic, apply func([]cell.Entry, bool)) *logfollower.Follower {
+	startFollower := func(topic *platform.Topic, apply func([]cell.LogRecord, bool)) *logfollower.Follower {
 		f := logfollower.New(logfollower.Config{
 			Name:       "log",
 			Logger:     hclog.NewNullLogger(),
@@ -110,9 +110,9 @@
 			return err
 		},
 		HolderStopped: func(context.Context, *cellpb.Claim) bool { return false },
-		Append: func(ctx context.Context, entries []cell.Entry, fence *cell.Fence, expectedEnd int64) (int64, error) {
+		Append: func(ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64) (int64, error) {
 			m.appends.Add(1)
-			return m.topic.Append(ctx, entries, fence, expectedEnd)
+			return m.topic.Append(ctx, records, fence, expectedEnd)
 		},
 		Dispatch: dispatch.Config{
 			LeaseDuration: 10 * time.Second,
@@ -175,8 +175,8 @@
 	page, err := first.topic.ReadLatest(t.Context())
 	require.NoError(t, err)
 	state := cell.NewState()
-	for _, entry := range page.Entries {
-		_, err = state.Apply(entry)
+	for _, record := range page.Records {
+		_, err = state.Apply(record)
 		require.NoError(t, err)
 	}
 	require.True(t, state.Claim().GetResigned())
@@ -192,7 +192,7 @@
 	otherTopic := platform.NewStore(platform.StoreConfig{
 		Address: startStoreServer(t, store.Endpoint()),
 	}).Topic("keyed.cell")
-	entry, err := cell.JobEntry(&cellpb.Job{
+	record, err := cell.JobRecord(&cellpb.Job{
 		Id:          "00000000000000aa",
 		Service:     "desk",
 		Occurrences: 1,
@@ -200,7 +200,7 @@
 	})
 	require.NoError(t, err)
 	leader.endpoint.SetFault(storeserver.FaultReadOnly, 0)
-	_, err = otherTopic.Append(ctx, []cell.Entry{entry}, nil, -1)
+	_, err = otherTopic.Append(ctx, []cell.LogRecord{record}, nil, -1)
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
 		_, known := leader.config.Mirror.Job("00000000000000aa")
@@ -261,14 +261,14 @@
 	topic := platform.NewStore(platform.StoreConfig{
 		Address: startStoreServer(t, store.Endpoint()),
 	}).Topic("keyed.cell")
-	claim, err := cell.ClaimEntry(&cellpb.Claim{
+	claim, err := cell.ClaimRecord(&cellpb.Claim{
 		Epoch:      1,
 		Holder:     "predecessor",
 		Resigned:   true,
 		Capacities: []*cellpb.Capacity{{Service: "desk", Accelerators: 16}},
 	})
 	require.NoError(t, err)
-	_, err = topic.Append(t.Context(), []cell.Entry{claim}, nil, -1)
+	_, err = topic.Append(t.Context(), []cell.LogRecord{claim}, nil, -1)
 	require.NoError(t, err)
 	m := startMember(t, store, "first")
 	require.Eventually(t, func() bool { return m.Leading() > 1 }, waitTimeout, 10*time.Millisecond)
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -14,9 +14,9 @@
 	"radishpath.example/radishpath/recovery"
 )
 
-// appendFunc appends entries to the cell's log within a timeout.
+// appendFunc appends records to the cell's log within a timeout.
 type appendFunc func(
-	ctx context.Context, entries []cell.Entry, fence *cell.Fence, expectedEnd int64, timeout time.Duration,
+	ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64, timeout time.Duration,
 ) (int64, error)
 
 // term is one period of leadership. Only the goroutine of run uses the planner.
@@ -60,7 +60,7 @@
 
 // newTerm returns the term of a claim that was sent at claimedAt.
 func newTerm(
-	config Config, epoch int64, claimedAt time.Duration, resignRequested <-chan struct{}, appendEntries appendFunc,
+	config Config, epoch int64, claimedAt time.Duration, resignRequested <-chan struct{}, appendRecords appendFunc,
 ) *term {
 	now := currentInstant(config)
 	config.Dispatch.PredecessorValidity = confirmationValidity
@@ -77,7 +77,7 @@
 		config:          config,
 		epoch:           epoch,
 		resignRequested: resignRequested,
-		append:          appendEntries,
+		append:          appendRecords,
 		planner:         dispatch.New(config.Dispatch, now),
 		incomingReports: make(chan *pendingReport),
 		appendResults:   make(chan appendResult, 1),
@@ -253,7 +253,7 @@
 	if batch.Empty() && !heartbeatDue && !t.resigning {
 		return
 	}
-	entries := t.entries(batch)
+	records := t.records(batch)
 	t.lastSequence++
 	fence := &cell.Fence{
 		Producer: producerName,
@@ -267,31 +267,31 @@
 	}
 	go func() {
 		result.err = recovery.Run(t.config.Logger, t.config.Metrics, "append", func() error {
-			return t.appendWithRetry(ctx, entries, fence, &result)
+			return t.appendWithRetry(ctx, records, fence, &result)
 		})
 		t.appendResults <- result
 	}()
 }
 
-// entries returns the log entries of a batch. It adds a claim if the batch is empty, as a heartbeat, or if the
+// records returns the log records of a batch. It adds a claim if the batch is empty, as a heartbeat, or if the
 // scheduler resigns.
-func (t *term) entries(batch dispatch.Batch) []cell.Entry {
-	var entries []cell.Entry
+func (t *term) records(batch dispatch.Batch) []cell.LogRecord {
+	var records []cell.LogRecord
 	for _, progress := range batch.Progress {
-		entry, err := cell.ProgressEntry(progress)
+		record, err := cell.ProgressRecord(progress)
 		if err != nil {
 			t.config.Logger.Error("failed to encode progress", "job", progress.GetId(), "error", err)
 			continue
 		}
-		entries = append(entries, entry)
+		records = append(records, record)
 	}
 	for _, id := range batch.DroppedJobs {
-		entries = append(entries, cell.DeleteEntries(id)...)
+		records = append(records, cell.DeleteRecords(id)...)
 	}
-	if len(entries) > 0 && !t.resigning {
-		return entries
+	if len(records) > 0 && !t.resigning {
+		return records
 	}
-	claim, err := cell.ClaimEntry(&cellpb.Claim{
+	claim, err := cell.ClaimRecord(&cellpb.Claim{
 		Epoch:      t.epoch,
 		Holder:     t.config.Holder,
 		Address:    t.config.Address,
@@ -300,20 +300,20 @@
 	})
 	if err != nil {
 		t.config.Logger.Error("failed to encode claim", "error", err)
-		return entries
+		return records
 	}
-	return append(entries, claim)
+	return append(records, claim)
 }
 
 // appendWithRetry retries an append under the same sequence number until it succeeds or can't succeed any more. It sets
 // sentAt of the result to when the last attempt was sent.
 func (t *term) appendWithRetry(
-	ctx context.Context, entries []cell.Entry, fence *cell.Fence, result *appendResult,
+	ctx context.Context, records []cell.LogRecord, fence *cell.Fence, result *appendResult,
 ) error {
 	timeout, backoff := initialAppendTimeout, initialAppendBackoff
 	for failures := 0; ; failures++ {
 		result.sentAt = t.config.BootTime.Now()
-		_, err := t.append(ctx, entries, fence, -1, timeout)
+		_, err := t.append(ctx, records, fence, -1, timeout)
 		var sequenceErr *cell.SequenceError
 		switch {
 		case err == nil:
--- a/scheduler/vacancy_test.go
+++ b/scheduler/vacancy_test.go
@@ -27,8 +27,8 @@
 			for _, cores := range []float64{smallCores, largeCores} {
 				c := newCandidate(t, cores)
 				c.holderStopped = func() bool { return test.stopped }
-				c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
-				c.apply(newClaimEntry(t, 1, false))
+				c.config.Mirror.ApplyOperations([]cell.LogRecord{{Key: "config"}}, true)
+				c.apply(newClaimRecord(t, 1, false))
 				delays[cores] = c.claimedAfter(t)
 			}
 			require.GreaterOrEqual(t, delays[largeCores], test.earliest)
@@ -42,12 +42,12 @@
 // entry has claimed and resigned since, between two checks.
 func TestClaimDelayCountsFromTheNewestResignation(t *testing.T) {
 	c := newCandidate(t, smallCores)
-	c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
-	c.apply(newClaimEntry(t, 1, true))
+	c.config.Mirror.ApplyOperations([]cell.LogRecord{{Key: "config"}}, true)
+	c.apply(newClaimRecord(t, 1, true))
 	_, leads := c.claimLeadership(t.Context())
 	require.False(t, leads)
 	c.now += c.claimDelay()
-	c.apply(newClaimEntry(t, 2, false), newClaimEntry(t, 2, true))
+	c.apply(newClaimRecord(t, 2, false), newClaimRecord(t, 2, true))
 	require.GreaterOrEqual(t, c.claimedAfter(t), c.claimDelay())
 }
 
@@ -55,11 +55,11 @@
 // made. A claim at the end of the log after that record would succeed.
 func TestClaimOfAnotherEntryDuringTheDecisionCounts(t *testing.T) {
 	c := newCandidate(t, largeCores)
-	c.config.Mirror.ApplyOperations([]cell.Entry{{Key: "config"}}, true)
-	c.apply(newClaimEntry(t, 1, false))
+	c.config.Mirror.ApplyOperations([]cell.LogRecord{{Key: "config"}}, true)
+	c.apply(newClaimRecord(t, 1, false))
 	c.now += leaderTimeout + c.claimDelay()
 	c.config.NextOffset = func() int64 {
-		c.apply(newClaimEntry(t, 2, false))
+		c.apply(newClaimRecord(t, 2, false))
 		return c.logEnd
 	}
 	_, leads := c.claimLeadership(t.Context())
--- a/simulation/celllog_test.go
+++ b/simulation/celllog_test.go
@@ -13,7 +13,7 @@
 // cellLog is a keyed log in memory.
 type cellLog struct {
 	mu      sync.Mutex
-	entries []cell.Entry
+	records []cell.LogRecord
 	// epoch, nextSequence and offsets are the state of the only producer that fences its appends.
 	epoch        int64
 	nextSequence int64
@@ -29,10 +29,10 @@
 	}
 }
 
-func (l *cellLog) append(entries []cell.Entry, fence *cell.Fence, expectedEnd int64) (int64, error) {
+func (l *cellLog) append(records []cell.LogRecord, fence *cell.Fence, expectedEnd int64) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	end := int64(len(l.entries))
+	end := int64(len(l.records))
 	if fence != nil {
 		offset, repeated, err := l.checkFence(*fence)
 		if err != nil || repeated {
@@ -44,9 +44,9 @@
 			End: end,
 		}
 	}
-	for _, entry := range entries {
-		entry.Offset = int64(len(l.entries))
-		l.entries = append(l.entries, entry)
+	for _, record := range records {
+		record.Offset = int64(len(l.records))
+		l.records = append(l.records, record)
 	}
 	if fence != nil {
 		l.nextSequence = fence.Sequence + 1
@@ -79,36 +79,36 @@
 	return 0, false, nil
 }
 
-// newest returns the newest entry of each key.
+// newest returns the newest record of each key.
 func (l *cellLog) newest() cell.Page {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	latest := map[string]int{}
-	for i, entry := range l.entries {
-		latest[entry.Key] = i
+	for i, record := range l.records {
+		latest[record.Key] = i
 	}
 	page := cell.Page{
-		End: int64(len(l.entries)),
+		End: int64(len(l.records)),
 	}
-	for i, entry := range l.entries {
-		if latest[entry.Key] == i && len(entry.Value) > 0 {
-			page.Entries = append(page.Entries, entry)
+	for i, record := range l.records {
+		if latest[record.Key] == i && len(record.Value) > 0 {
+			page.Records = append(page.Records, record)
 		}
 	}
 	return page
 }
 
-// read returns the entries from an offset on, once there are any or ctx has ended.
+// read returns the records from an offset on, once there are any or ctx has ended.
 func (l *cellLog) read(ctx context.Context, from int64) cell.Page {
 	for {
 		l.mu.Lock()
 		page := cell.Page{
-			Entries: append([]cell.Entry(nil), l.entries[from:]...),
-			End:     int64(len(l.entries)),
+			Records: append([]cell.LogRecord(nil), l.records[from:]...),
+			End:     int64(len(l.records)),
 		}
 		appended := l.appended
 		l.mu.Unlock()
-		if len(page.Entries) > 0 {
+		if len(page.Records) > 0 {
 			return page
 		}
 		select {
--- a/simulation/entryprocess_test.go
+++ b/simulation/entryprocess_test.go
@@ -61,11 +61,11 @@
 		Now: w.bootTime,
 	}
 	cellMirror := mirror.New(mirror.Config{
-		Logger:     logger,
-		BootTime:   bootTime,
-		ApplyEntry: w.applyConfig,
+		Logger:      logger,
+		BootTime:    bootTime,
+		ApplyRecord: w.applyConfig,
 	})
-	cellMirror.ApplyOperations([]cell.Entry{{}}, true)
+	cellMirror.ApplyOperations([]cell.LogRecord{{}}, true)
 	follower := logfollower.New(logfollower.Config{
 		Name:       "cell",
 		Logger:     logger,
--- a/simulation/logendpoint_test.go
+++ b/simulation/logendpoint_test.go
@@ -27,7 +27,7 @@
 }
 
 func (e *logEndpoint) append(
-	ctx context.Context, entries []cell.Entry, fence *cell.Fence, expectedEnd int64,
+	ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64,
 ) (int64, error) {
 	e.gate.wait()
 	defer e.gate.wait()
@@ -45,7 +45,7 @@
 		}
 		e.world.spawn(func() {
 			e.world.sleep(e.world.ctx, delay)
-			_, err := e.log.append(entries, fence, expectedEnd)
+			_, err := e.log.append(records, fence, expectedEnd)
 			e.world.journal.add(e.name, "append %v carried out after %s without an answer: %v", fence, delay, err)
 		})
 		<-ctx.Done()
@@ -54,7 +54,7 @@
 		<-ctx.Done()
 		return 0, unknownOutcome(ctx)
 	}
-	offset, err := e.log.append(entries, fence, expectedEnd)
+	offset, err := e.log.append(records, fence, expectedEnd)
 	e.world.sleep(ctx, logLatency)
 	return offset, err
 }
--- a/simulation/world_test.go
+++ b/simulation/world_test.go
@@ -166,18 +166,18 @@
 // submit stores a job, and its cancellation if it is cancelled.
 func (w *world) submit(job jobPlan) {
 	w.sleep(w.ctx, job.submitAt)
-	entry, err := cell.JobEntry(job.message())
+	record, err := cell.JobRecord(job.message())
 	if err == nil {
-		_, err = w.log.append([]cell.Entry{entry}, nil, -1)
+		_, err = w.log.append([]cell.LogRecord{record}, nil, -1)
 	}
 	w.journal.add("client", "job %s submitted: %v", job.id, err)
 	if job.cancelAt == 0 {
 		return
 	}
 	w.sleep(w.ctx, job.cancelAt-job.submitAt)
-	entry, err = cell.CancelEntry(job.id)
+	record, err = cell.CancelRecord(job.id)
 	if err == nil {
-		_, err = w.log.append([]cell.Entry{entry}, nil, -1)
+		_, err = w.log.append([]cell.LogRecord{record}, nil, -1)
 	}
 	w.journal.add("client", "job %s cancelled: %v", job.id, err)
 }
@@ -210,8 +210,8 @@
 
 func (w *world) openJobs() []string {
 	state := cell.NewState()
-	for _, entry := range w.log.newest().Entries {
-		_, _ = state.Apply(entry)
+	for _, record := range w.log.newest().Records {
+		_, _ = state.Apply(record)
 	}
 	var open []string
 	for _, job := range w.jobs {
@@ -224,7 +224,7 @@
 }
 
 // applyConfig returns the operations with the simulation's configuration.
-func (w *world) applyConfig(operations cell.Operations, _ cell.Entry) (cell.Operations, error) {
+func (w *world) applyConfig(operations cell.Operations, _ cell.LogRecord) (cell.Operations, error) {
 	config := cell.Config{
 		Version:  1,
 		Services: map[string]cell.Service{},
--- a/standin/cluster/document.go
+++ b/standin/cluster/document.go
@@ -47,12 +47,12 @@
 	if err != nil {
 		return fmt.Errorf("publish: %w", err)
 	}
-	entries, err := platform.DiffOperations(c.Store.Operations(), parsedDocument.Operations(revision))
+	records, err := platform.DiffOperations(c.Store.Operations(), parsedDocument.Operations(revision))
 	if err != nil {
 		return fmt.Errorf("publish: %w", err)
 	}
-	for _, entry := range entries {
-		c.Store.AppendOperation(entry.Key, entry.Value)
+	for _, record := range records {
+		c.Store.AppendOperation(record.Key, record.Value)
 	}
 	return nil
 }
--- a/standin/storeserver/server.go
+++ b/standin/storeserver/server.go
@@ -86,19 +86,19 @@
 }
 
 // Operations returns the newest record of each key of the operators' log.
-func (s *Server) Operations() []cell.Entry {
+func (s *Server) Operations() []cell.LogRecord {
 	p := s.partition(operationsTopic)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	entries := make([]cell.Entry, 0, len(p.newestRecords))
+	records := make([]cell.LogRecord, 0, len(p.newestRecords))
 	for _, key := range slices.Sorted(maps.Keys(p.newestRecords)) {
-		entries = append(entries, cell.Entry{
+		records = append(records, cell.LogRecord{
 			Key:    key,
 			Value:  p.newestRecords[key].value,
 			Offset: p.newest[key],
 		})
 	}
-	return entries
+	return records
 }
 
 // AppendOperation appends a record to the operators' log.
