--- a/agent/config.go
+++ b/agent/config.go
@@ -42,7 +42,7 @@
 
 // ExecutorClient holds the calls to the executor.
 type ExecutorClient struct {
-	Hold  func(ctx context.Context, hold cell.Hold) (cell.Inventory, error)
+	Hold  func(ctx context.Context, hold cell.HoldRequest) (cell.Inventory, error)
 	Start func(ctx context.Context, start cell.TaskStart) error
 	Stop  func(ctx context.Context, stop cell.TaskStop) error
 }
--- a/agent/generation_test.go
+++ b/agent/generation_test.go
@@ -26,7 +26,7 @@
 	running []*cellpb.RunningTask
 }
 
-func (e *fencedExecutor) hold(_ context.Context, hold cell.Hold) (cell.Inventory, error) {
+func (e *fencedExecutor) hold(_ context.Context, hold cell.HoldRequest) (cell.Inventory, error) {
 	if hold.Fence < e.fence {
 		return cell.Inventory{}, &cell.OrderRejectedError{Reason: "fence"}
 	}
@@ -223,7 +223,7 @@
 		Ended: []*cellpb.EndedTask{{Number: 48, Task: "a.0.0.0", Run: 1}},
 	}
 	c := newTestController(ExecutorClient{
-		Hold: func(_ context.Context, hold cell.Hold) (cell.Inventory, error) {
+		Hold: func(_ context.Context, hold cell.HoldRequest) (cell.Inventory, error) {
 			recordedEnds = append(recordedEnds, hold.RecordedEnd)
 			if len(recordedEnds) == 1 {
 				return cell.Inventory{}, cell.ErrOutcomeUnknown
@@ -309,9 +309,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				var holds []cell.Hold
+				var holds []cell.HoldRequest
 				c := newTestController(ExecutorClient{
-					Hold: func(ctx context.Context, hold cell.Hold) (cell.Inventory, error) {
+					Hold: func(ctx context.Context, hold cell.HoldRequest) (cell.Inventory, error) {
 						holds = append(holds, hold)
 						if len(holds) == 2 {
 							cancel()
--- a/agent/holds.go
+++ b/agent/holds.go
@@ -49,7 +49,7 @@
 var errHoldOutdated = errors.New("a hold with a higher fence is due")
 
 // requestHold sends a hold. It returns errHoldOutdated if a higher fence is due before the executor answers.
-func (c *Controller) requestHold(ctx context.Context, hold cell.Hold) (cell.Inventory, error) {
+func (c *Controller) requestHold(ctx context.Context, hold cell.HoldRequest) (cell.Inventory, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold.Wait+orderTimeout)
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
@@ -83,19 +83,19 @@
 }
 
 // nextHold returns the next hold for the executor; false while no live incarnation is known.
-func (c *Controller) nextHold() (cell.Hold, *incarnation, bool) {
+func (c *Controller) nextHold() (cell.HoldRequest, *incarnation, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.incarnation == nil || c.incarnation.executor.GetGone() {
-		return cell.Hold{}, nil, false
+		return cell.HoldRequest{}, nil, false
 	}
 	if c.incarnation.replaced {
-		return cell.Hold{
+		return cell.HoldRequest{
 			Executor: c.incarnation.executor.GetId(),
 			Fence:    c.fence(c.incarnation).Token(),
 		}, c.incarnation, !c.incarnation.successorFenced
 	}
-	hold := cell.Hold{
+	hold := cell.HoldRequest{
 		Executor:    c.incarnation.executor.GetId(),
 		Fence:       c.fence(c.incarnation).Token(),
 		RecordedEnd: c.incarnation.droppableEnd(),
@@ -116,7 +116,7 @@
 
 // applyInventory applies the response to a hold, unless the executor has restarted.
 func (c *Controller) applyInventory(
-	current *incarnation, hold cell.Hold, inventory cell.Inventory, requestedAt time.Duration,
+	current *incarnation, hold cell.HoldRequest, inventory cell.Inventory, requestedAt time.Duration,
 ) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -249,7 +249,9 @@
 
 // applyInventory applies an inventory that was requested at requestedAt, and reports whether it must be reported to the
 // scheduler soon.
-func (i *incarnation) applyInventory(hold cell.Hold, inventory cell.Inventory, requestedAt, now time.Duration) bool {
+func (i *incarnation) applyInventory(
+	hold cell.HoldRequest, inventory cell.Inventory, requestedAt, now time.Duration,
+) bool {
 	fence := cell.ParseExecutorFence(hold.Fence)
 	changed := i.fence != fence || runsDiffer(i.inventory, inventory)
 	i.inventory = inventory
--- a/agent/incarnation_test.go
+++ b/agent/incarnation_test.go
@@ -63,7 +63,7 @@
 			current := newTestIncarnation()
 			key := run{task: "t", run: 1}
 			current.stopped[key] = 2 * time.Minute
-			current.applyInventory(cell.Hold{Fence: 7}, test.listed, test.requestedAt, 3*time.Minute)
+			current.applyInventory(cell.HoldRequest{Fence: 7}, test.listed, test.requestedAt, 3*time.Minute)
 			require.Len(t, current.rejected, test.rejected)
 			_, pending := current.stopped[key]
 			require.Equal(t, test.pending, pending)
@@ -83,9 +83,9 @@
 	require.False(t, current.beginOrder(key, true), "start acknowledged")
 	require.Len(t, current.runningTasks(), 1, "reported before the inventory shows it")
 
-	current.applyInventory(cell.Hold{}, newInventory([]string{"t"}, nil), time.Hour, time.Hour)
+	current.applyInventory(cell.HoldRequest{}, newInventory([]string{"t"}, nil), time.Hour, time.Hour)
 	require.False(t, current.beginOrder(key, true), "run is listed as running")
-	current.applyInventory(cell.Hold{}, newInventory(nil, nil), time.Hour, time.Hour)
+	current.applyInventory(cell.HoldRequest{}, newInventory(nil, nil), time.Hour, time.Hour)
 	require.True(t, current.beginOrder(key, true), "run was lost")
 }
 
@@ -93,7 +93,7 @@
 // never be ahead, or a start would be executed after its deadline.
 func TestClockEstimateIsNeverAhead(t *testing.T) {
 	current := newTestIncarnation()
-	current.applyInventory(cell.Hold{}, newInventory(nil, nil), time.Minute, time.Minute)
+	current.applyInventory(cell.HoldRequest{}, newInventory(nil, nil), time.Minute, time.Minute)
 	require.Equal(t, 2*time.Second, current.earliestClock(time.Minute))
 	require.Equal(t, 2*time.Second+9800*time.Millisecond, current.earliestClock(time.Minute+10*time.Second))
 }
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -318,7 +318,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var c *Controller
 	c = newTestController(ExecutorClient{
-		Hold: func(context.Context, cell.Hold) (cell.Inventory, error) {
+		Hold: func(context.Context, cell.HoldRequest) (cell.Inventory, error) {
 			report, _ := c.report(false)
 			switch {
 			case holdErr != nil && report.GetExecutor().GetSilent():
--- a/cell/executor.go
+++ b/cell/executor.go
@@ -29,8 +29,8 @@
 	Truncated bool
 }
 
-// Hold requests an executor's inventory and extends the leases of its runs.
-type Hold struct {
+// HoldRequest requests an executor's inventory and extends the leases of its runs.
+type HoldRequest struct {
 	// Executor is the id of the executor that the request is for.
 	Executor string
 	Fence    int64
--- a/simulation/agentprocess_test.go
+++ b/simulation/agentprocess_test.go
@@ -111,7 +111,7 @@
 	return p.controller.ForwardReport(p.ctx, request)
 }
 
-func (p *agentProcess) hold(ctx context.Context, order cell.Hold) (cell.Inventory, error) {
+func (p *agentProcess) hold(ctx context.Context, order cell.HoldRequest) (cell.Inventory, error) {
 	if err := p.beginCall(ctx); err != nil {
 		return cell.Inventory{}, err
 	}
--- a/simulation/fleet_test.go
+++ b/simulation/fleet_test.go
@@ -242,7 +242,7 @@
 	return nil
 }
 
-func (f *fleet) hold(ctx context.Context, h *host, order cell.Hold, d delivery) (cell.Inventory, error) {
+func (f *fleet) hold(ctx context.Context, h *host, order cell.HoldRequest, d delivery) (cell.Inventory, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l, now := h.current, f.world.now()
--- a/simulation/host_test.go
+++ b/simulation/host_test.go
@@ -42,7 +42,7 @@
 }
 
 // hold carries out a hold of the agent.
-func (h *host) hold(ctx context.Context, order cell.Hold) (cell.Inventory, error) {
+func (h *host) hold(ctx context.Context, order cell.HoldRequest) (cell.Inventory, error) {
 	inventory := cell.Inventory{}
 	deliver := func(deliverCtx context.Context, d delivery) error {
 		var err error
