--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -87,7 +87,7 @@
 		m.schedulerSeenAt = m.config.BootTime.Now()
 	}
 	for _, record := range records {
-		m.applyCellEntry(record)
+		m.applyCellRecord(record)
 	}
 	m.signalChange()
 }
@@ -183,8 +183,8 @@
 	visit(m.state)
 }
 
-// applyCellEntry applies a record of the cell's log. The caller holds the mutex.
-func (m *Mirror) applyCellEntry(record cell.LogRecord) {
+// applyCellRecord applies a record of the cell's log. The caller holds the mutex.
+func (m *Mirror) applyCellRecord(record cell.LogRecord) {
 	previousEpoch := m.state.Claim().GetEpoch()
 	id := ""
 	err := m.confinePanic(func() error {
@@ -208,7 +208,7 @@
 	}
 }
 
-// confinePanic applies an entry. A panic at one record must not end the process, which would read it again after its
+// confinePanic applies a record. A panic at one record must not end the process, which would read it again after its
 // restart.
 func (m *Mirror) confinePanic(apply func() error) error {
 	return recovery.Run(m.config.Logger, m.config.Metrics, "mirror", apply)
