agent: try the entries in a random order

Callers could see: work that is given up and started again, since its agent doesn't find the new scheduler before its leases lapse.

Cause: replies list the entries in the order of their addresses, and agents try them in that order. The entries of a zone are neighbours in it. If a zone of eleven entries with the scheduler can't be reached, an agent of another zone that comes to them first tries them in a row, a second each, and the scheduler's address again and again in between.

Change: new entries are added in a random order, which also keeps agents from asking the same entry at the same moment.

--- a/agent/report.go
+++ b/agent/report.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -217,7 +218,9 @@
 }
 
 // updateEntries updates the addresses of the entries from a reply. The scheduler lists all of them, so that others are
-// forgotten; an entry that knows no scheduler lists those that it knows. The caller holds the mutex.
+// forgotten; an entry that knows no scheduler lists those that it knows. New entries are added in a random order:
+// neighbouring addresses tend to become unreachable together, and each takes a second to fail. The caller holds the
+// mutex.
 func (c *Controller) updateEntries(orders *cellpb.Orders) {
 	listed := orders.GetEntries()
 	if orders.GetEpoch() != 0 && len(listed) > 0 {
@@ -225,7 +228,8 @@
 			return !slices.Contains(c.config.SeedAddresses, address) && !slices.Contains(listed, address)
 		})
 	}
-	for _, address := range slices.Sorted(slices.Values(listed)) {
+	for _, i := range rand.Perm(len(listed)) {
+		address := listed[i]
 		if address != "" && !slices.Contains(c.entryAddresses, address) && len(c.entryAddresses) < maxEntryAddresses {
 			c.entryAddresses = append(c.entryAddresses, address)
 		}
