agent: a replaced scheduler's reply forgets no entries

Cause: lets a scheduler's reply drop the entries that it doesn't list. A scheduler that was replaced, and still answers, may not know the newer entries. Found by the reviewer by reading. Change: only replies of the newest known epoch drop entries. TestReplacedSchedulerForgetsNoEntries fails before the change (the newer entry is gone).

--- a/agent/report.go
+++ b/agent/report.go
@@ -218,12 +218,12 @@
 }
 
 // updateEntries updates the addresses of the entries from a reply. The scheduler lists all of them, so that others are
-// forgotten; an entry that knows no scheduler lists those that it knows. New entries are added in a random order:
-// neighbouring addresses tend to become unreachable together, and each takes a second to fail. The caller holds the
-// mutex.
+// forgotten; an entry that knows no scheduler, and a scheduler that was replaced, list those that they know. New entries
+// are added in a random order: neighbouring addresses tend to become unreachable together, and each takes a second to
+// fail. The caller holds the mutex.
 func (c *Controller) updateEntries(orders *cellpb.Orders) {
 	listed := orders.GetEntries()
-	if orders.GetEpoch() != 0 && len(listed) > 0 {
+	if orders.GetEpoch() != 0 && orders.GetEpoch() >= c.epoch && len(listed) > 0 {
 		c.entryAddresses = slices.DeleteFunc(slices.Clone(c.entryAddresses), func(address string) bool {
 			return !slices.Contains(c.config.SeedAddresses, address) && !slices.Contains(listed, address)
 		})
--- a/agent/report_test.go
+++ b/agent/report_test.go
@@ -163,3 +163,20 @@
 	}
 	require.LessOrEqual(t, failures, maxFailures)
 }
+
+// Guards against an agent that forgets the newer entries, because a scheduler that was replaced still answers it.
+func TestReplacedSchedulerForgetsNoEntries(t *testing.T) {
+	c := newTestController(ExecutorClient{})
+	c.applyOrders(t.Context(), 1, &cellpb.Orders{
+		Epoch: 8,
+	})
+	c.updateAddresses(&cellpb.Orders{
+		Epoch:   8,
+		Entries: []string{"10.0.0.1:7000"},
+	})
+	c.updateAddresses(&cellpb.Orders{
+		Epoch:   7,
+		Entries: []string{"10.0.0.2:7000"},
+	})
+	require.ElementsMatch(t, []string{"10.0.0.1:7000", "10.0.0.2:7000"}, c.candidates())
+}
