--- a/cell/oddrecord_test.go
+++ b/cell/oddrecord_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/encoding/protowire"
@@ -209,6 +210,45 @@
 	}
 }
 
+// Guards against a check of records that rejects what this program writes: a job, or its progress, would be lost to every
+// entry that starts.
+func TestLargestValidRecordsCount(t *testing.T) {
+	const offset = 40
+	ended := time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC).UnixMilli()
+	state := NewState()
+	applyRecords(t, state,
+		requireRecord(t)(JobRecord(jobRecord(func(job *cellpb.Job) { job.Steps[0].Count = maxTasksPerJob }).GetJob())),
+		requireRecord(t)(CancelRecord(oddJobID)),
+		requireRecord(t)(ProgressRecord(&cellpb.Progress{
+			Id:      oddJobID,
+			State:   cellpb.State_STATE_CANCELLED,
+			Begun:   true,
+			EndedMs: ended,
+			Tasks: []*cellpb.Task{{
+				Index:    maxTasksPerJob - 1,
+				Run:      maxRunNumber,
+				Failures: maxRunNumber,
+			}},
+		})),
+		requireRecord(t)(MemberRecord(&cellpb.Member{Id: "x", Address: "10.0.0.1:65535"})),
+	)
+	jobState, ok := state.Job(oddJobID)
+	require.True(t, ok)
+	require.True(t, jobState.Cancelled)
+	require.Equal(t, ended, jobState.Progress.GetEndedMs())
+	require.Equal(t, map[string]string{"x": "10.0.0.1:65535"}, state.Members())
+
+	claim := requireRecord(t)(ClaimRecord(&cellpb.Claim{
+		Epoch:      FirstEpoch(offset),
+		Holder:     "a",
+		Resigned:   true,
+		Capacities: []*cellpb.Capacity{{Service: "s", Cpu: 128_000, MemoryMb: 512 << 10, Accelerators: 8}},
+	}))
+	claim.Offset = offset + 1
+	applyRecords(t, state, claim)
+	require.Equal(t, "a", state.Claim().GetHolder(), "a leader repeats its claim at later offsets")
+}
+
 // Guards against a scheduler whose own claim is rejected as odd.
 func TestHighestEpochOfAnOffsetCounts(t *testing.T) {
 	const offset = 1<<32 - 1
--- a/dispatch/planner_test.go
+++ b/dispatch/planner_test.go
@@ -277,6 +277,30 @@
 	require.Equal(t, []string{"agent-1"}, h.taskAgents(0))
 }
 
+// Guards against a delayed report of an earlier process and incarnation that counts as the newest one: a rejection in it
+// removes a run that works. Its contact has this scheduler's epoch, but not the generation of the newest incarnation.
+func TestReportOfEarlierProcessAndGenerationIsIgnored(t *testing.T) {
+	h := newHarness(t)
+	report := func(process, born, generation int64) bool {
+		h.sequence++
+		executor := h.executorState("agent-1", "r1")
+		executor.Born = born
+		return h.planner.Report(&cellpb.Report{
+			Agent:      "agent-1",
+			Process:    process,
+			Sequence:   h.sequence,
+			Epoch:      testEpoch,
+			Generation: generation,
+			Executor:   executor,
+		}, testEpoch, h.now)
+	}
+	require.True(t, report(2600, 1, 0))
+	require.True(t, report(5000, 2, 1))
+	require.Equal(t, int64(1), h.planner.Orders("agent-1", h.now).GetGeneration())
+	require.False(t, report(2600, 1, 0))
+	require.True(t, report(2600, 3, 1), "only the newest process knows the newest generation")
+}
+
 // The number of addresses in a reply must not grow with the cell: with all agents in each reply, 300 agents caused 1.7
 // MB/s of traffic.
 func TestAgentsLimitsAddresses(t *testing.T) {
