--- a/agent/report.go
+++ b/agent/report.go
@@ -218,9 +218,9 @@
 }
 
 // updateEntries updates the addresses of the entries from a reply. The scheduler lists all of them, so that others are
-// forgotten; an entry that knows no scheduler, and a scheduler that was replaced, list those that they know. New entries
-// are added in a random order: neighbouring addresses tend to become unreachable together, and each takes a second to
-// fail. The caller holds the mutex.
+// forgotten; an entry that knows no scheduler, and a scheduler that was replaced, list those that they know. New
+// entries are added in a random order: neighbouring addresses tend to become unreachable together, and each takes a
+// second to fail. The caller holds the mutex.
 func (c *Controller) updateEntries(orders *cellpb.Orders) {
 	listed := orders.GetEntries()
 	if orders.GetEpoch() != 0 && orders.GetEpoch() >= c.epoch && len(listed) > 0 {
--- a/agent/report_test.go
+++ b/agent/report_test.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// Guards against an agent that never reports to the new scheduler, because a few addresses that don't answer take longer
-// to fail than the backoff of the first lasts.
+// Guards against an agent that never reports to the new scheduler, because a few addresses that don't answer take
+// longer to fail than the backoff of the first lasts.
 func TestUnreachableAddressesDoNotHideReachableOnes(t *testing.T) {
 	const dialTime = 1060 * time.Millisecond
 	candidates := []string{"scheduler", "dead-1", "dead-2", "dead-3", "dead-4", "alive-1", "alive-2"}
--- a/cell/oddrecord_test.go
+++ b/cell/oddrecord_test.go
@@ -210,8 +210,8 @@
 	}
 }
 
-// Guards against a check of records that rejects what this program writes: a job, or its progress, would be lost to every
-// entry that starts.
+// Guards against a check of records that rejects what this program writes: a job, or its progress, would be lost to
+// every entry that starts.
 func TestLargestValidRecordsCount(t *testing.T) {
 	const offset = 40
 	ended := time.Date(2100, time.January, 1, 0, 0, 0, 0, time.UTC).UnixMilli()
--- a/dispatch/planner_test.go
+++ b/dispatch/planner_test.go
@@ -277,8 +277,8 @@
 	require.Equal(t, []string{"agent-1"}, h.taskAgents(0))
 }
 
-// Guards against a delayed report of an earlier process and incarnation that counts as the newest one: a rejection in it
-// removes a run that works. Its contact has this scheduler's epoch, but not the generation of the newest incarnation.
+// Guards against a delayed report of an earlier process and incarnation that counts as the newest one: a rejection in
+// it removes a run that works. Its contact has this scheduler's epoch, but not the generation of the newest incarnation.
 func TestReportOfEarlierProcessAndGenerationIsIgnored(t *testing.T) {
 	h := newHarness(t)
 	report := func(process, born, generation int64) bool {
