--- a/dispatch/planner_test.go
+++ b/dispatch/planner_test.go
@@ -278,7 +278,7 @@
 }
 
 // Guards against a delayed report of an earlier process and incarnation that counts as the newest one: a rejection in
-// it removes a run that works. Its contact has this scheduler's epoch, but not the generation of the newest incarnation.
+// it removes a run that works. It has this scheduler's epoch, but not the generation of the newest incarnation.
 func TestReportOfEarlierProcessAndGenerationIsIgnored(t *testing.T) {
 	h := newHarness(t)
 	report := func(process, born, generation int64) bool {
