--- a/dispatch/planner_test.go
+++ b/dispatch/planner_test.go
@@ -256,17 +256,7 @@
 func TestAgentThatRestartsWithItsExecutorAndEarlierClockIsHeard(t *testing.T) {
 	h := newHarness(t)
 	report := func(process, born, epoch int64) bool {
-		h.sequence++
-		executor := h.executorState("agent-1", "r1")
-		executor.Born = born
-		return h.planner.Report(&cellpb.Report{
-			Agent:      "agent-1",
-			Process:    process,
-			Sequence:   h.sequence,
-			Epoch:      epoch,
-			Generation: h.planner.Orders("agent-1", h.now).GetGeneration(),
-			Executor:   executor,
-		}, testEpoch, h.now)
+		return h.reportOfProcess(process, born, epoch, h.planner.Orders("agent-1", h.now).GetGeneration())
 	}
 	require.True(t, report(5000, 2, testEpoch))
 	require.False(t, report(2600, 1, 0), "it may be a delayed report of an earlier process")
@@ -281,24 +271,27 @@
 // it removes a run that works. It has this scheduler's epoch, but not the generation of the newest incarnation.
 func TestReportOfEarlierProcessAndGenerationIsIgnored(t *testing.T) {
 	h := newHarness(t)
-	report := func(process, born, generation int64) bool {
-		h.sequence++
-		executor := h.executorState("agent-1", "r1")
-		executor.Born = born
-		return h.planner.Report(&cellpb.Report{
-			Agent:      "agent-1",
-			Process:    process,
-			Sequence:   h.sequence,
-			Epoch:      testEpoch,
-			Generation: generation,
-			Executor:   executor,
-		}, testEpoch, h.now)
-	}
-	require.True(t, report(2600, 1, 0))
-	require.True(t, report(5000, 2, 1))
+	require.True(t, h.reportOfProcess(2600, 1, testEpoch, 0))
+	require.True(t, h.reportOfProcess(5000, 2, testEpoch, 1))
 	require.Equal(t, int64(1), h.planner.Orders("agent-1", h.now).GetGeneration())
-	require.False(t, report(2600, 1, 0))
-	require.True(t, report(2600, 3, 1), "only the newest process knows the newest generation")
+	require.False(t, h.reportOfProcess(2600, 1, testEpoch, 0))
+	require.True(t, h.reportOfProcess(2600, 3, testEpoch, 1), "only the newest process knows the newest generation")
+}
+
+// reportOfProcess reports an incarnation of the executor at agent-1 from a process of that agent, and returns whether
+// the planner used the report.
+func (h *plannerHarness) reportOfProcess(process, born, epoch, generation int64) bool {
+	h.sequence++
+	executor := h.executorState("agent-1", "r1")
+	executor.Born = born
+	return h.planner.Report(&cellpb.Report{
+		Agent:      "agent-1",
+		Process:    process,
+		Sequence:   h.sequence,
+		Epoch:      epoch,
+		Generation: generation,
+		Executor:   executor,
+	}, testEpoch, h.now)
 }
 
 // The number of addresses in a reply must not grow with the cell: with all agents in each reply, 300 agents caused 1.7
