--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -214,7 +214,7 @@
 	return recovery.Run(m.config.Logger, m.config.Metrics, "mirror", apply)
 }
 
-// reportInvalid logs and counts an entry that is skipped as invalid, unless it was reported before. The caller holds
+// reportInvalid logs and counts a record that is skipped as invalid, unless it was reported before. The caller holds
 // the mutex.
 func (m *Mirror) reportInvalid(log string, record cell.LogRecord, err error) {
 	if !m.reported[log].add(record.Offset) {
