--- /dev/null
+++ b/review/harness/harness.go
@@ -0,0 +1,336 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"radishpath.example/radishpath/standin/executorserver"
+	"radishpath.example/radishpath/standin/storeserver"
+)
+
+const (
+	entries  = 3
+	maxLease = 10 * time.Second
+	// program is the binary that the build of the deploy file writes.
+	program = "target/radishpath"
+	// Service is the name of the service of all executors.
+	Service     = "quote-desk"
+	callTimeout = 3 * time.Second
+	readyWait   = 15 * time.Second
+	pollPause   = 50 * time.Millisecond
+)
+
+// zones are the availability zones, given to the processes in turn.
+var zones = []string{"port-louis", "curepipe", "grand-baie"} //nolint:gochecknoglobals // a constant list
+
+// Config configures a Harness.
+type Config struct {
+	Clock  clockwork.Clock
+	Agents int
+	// Accelerators is the number of accelerators of each executor.
+	Accelerators int64
+	Record       *Record
+}
+
+// Harness is a running deployment.
+type Harness struct {
+	config    Config
+	directory string
+	client    *http.Client
+	// Store is the simulated store; Endpoints are the entries' paths to it.
+	Store     *storeserver.Server
+	Endpoints []*storeserver.Endpoint
+	Recorder  *executorserver.Recorder
+	Executors []*executorserver.Executor
+	Entries   []*Process
+	Agents    []*Process
+	// fronts and readies are the entries' addresses for callers and for the readiness check.
+	fronts  []string
+	readies []string
+	servers []*httptest.Server
+	cancel  context.CancelFunc
+	// rejectedAppends counts the appends over the store's limits.
+	rejectedAppends atomic.Int64
+	// largestRecord is the size of the largest record that was sent to the store.
+	largestRecord atomic.Int64
+}
+
+// Start starts the store, the executors, the entries and the agents.
+func Start(ctx context.Context, config Config) (*Harness, error) {
+	directory, err := os.MkdirTemp("", "radishpath-review-")
+	if err != nil {
+		return nil, fmt.Errorf("create directory: %w", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	h := &Harness{
+		config:    config,
+		directory: directory,
+		client: &http.Client{
+			Timeout: callTimeout,
+		},
+		Store:    storeserver.New(config.Clock),
+		Recorder: executorserver.NewRecorder(config.Clock),
+		cancel:   cancel,
+	}
+	if err = h.startAll(ctx); err != nil {
+		h.Close()
+		return nil, err
+	}
+	return h, nil
+}
+
+// Close ends all processes and removes their files. What the executors did goes into the record.
+func (h *Harness) Close() {
+	for _, p := range append(append([]*Process{}, h.Entries...), h.Agents...) {
+		p.Kill()
+	}
+	h.cancel()
+	for _, server := range h.servers {
+		server.CloseClientConnections()
+		server.Close()
+	}
+	if os.Getenv("KEEP") != "" {
+		fmt.Println("logs in", h.directory)
+		return
+	}
+	// A failure only leaves files in the directory for temporary files.
+	_ = os.RemoveAll(h.directory)
+}
+
+// PutConfig writes the operators' configuration to the store.
+func (h *Harness) PutConfig(config []byte) {
+	h.Store.AppendOperation("config", config)
+	h.config.Record.Add("operator: op/config is written")
+}
+
+// RejectedAppends returns the number of appends over the store's limits.
+func (h *Harness) RejectedAppends() int64 {
+	return h.rejectedAppends.Load()
+}
+
+// LargestRecord returns the size in bytes of the largest record that was sent to the store.
+func (h *Harness) LargestRecord() int64 {
+	return h.largestRecord.Load()
+}
+
+// Call makes a call of a client at an entry and returns the status, 0 if there was no answer, and the body.
+func (h *Harness) Call(
+	ctx context.Context, method string, entry int, host, path, key string, body []byte,
+) (int, string) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.fronts[entry]+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	request.Host = host
+	request.Header.Set("Authorization", "Token "+key)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Radishpath-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	response, err := h.client.Do(request)
+	if err != nil {
+		h.config.Record.Add("client: %s %s at %s: no answer: %v", method, path, h.Entries[entry].Name, err)
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	text := strings.TrimSpace(string(answer))
+	h.config.Record.Add("client: %s %s at %s: %d %s", method, path, h.Entries[entry].Name, response.StatusCode, text)
+	return response.StatusCode, text
+}
+
+// AwaitReady waits until all entries are ready, and reports whether they are.
+func (h *Harness) AwaitReady(ctx context.Context) bool {
+	deadline := h.config.Clock.Now().Add(readyWait)
+	for _, address := range h.readies {
+		for !h.isReady(ctx, address) {
+			if h.config.Clock.Now().After(deadline) {
+				return false
+			}
+			h.config.Clock.Sleep(pollPause)
+		}
+	}
+	return true
+}
+
+// Await polls a condition until it holds, and reports whether it held before the timeout.
+func (h *Harness) Await(timeout time.Duration, condition func() bool) bool {
+	deadline := h.config.Clock.Now().Add(timeout)
+	for !condition() {
+		if h.config.Clock.Now().After(deadline) {
+			return false
+		}
+		h.config.Clock.Sleep(pollPause)
+	}
+	return true
+}
+
+// StartsOf returns the starts of a job's tasks after a time.
+func (h *Harness) StartsOf(job string, since time.Time) []executorserver.RunStart {
+	var starts []executorserver.RunStart
+	for _, start := range h.Recorder.StartsSince(since) {
+		if strings.HasPrefix(start.Task, job+".") {
+			starts = append(starts, start)
+		}
+	}
+	return starts
+}
+
+// Leader returns the index of the entry whose log names the newest term; -1 if there is none.
+func (h *Harness) Leader() int {
+	leader, newest := -1, ""
+	for i, entry := range h.Entries {
+		text, err := os.ReadFile(entry.logPath)
+		if err != nil {
+			continue
+		}
+		for line := range strings.SplitSeq(string(text), "\n") {
+			if !strings.Contains(line, `"scheduling begins"`) {
+				continue
+			}
+			if _, after, found := strings.Cut(line, `"@timestamp":"`); found && after[:27] > newest {
+				leader, newest = i, after[:27]
+			}
+		}
+	}
+	return leader
+}
+
+func (h *Harness) isReady(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (h *Harness) startAll(ctx context.Context) error {
+	prefix := fmt.Sprintf("127.%d.%d.", 10+os.Getpid()%200, 1+os.Getpid()/200%200)
+	port, err := freePort(ctx, prefix+"1")
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for i := range entries {
+		seeds = append(seeds, fmt.Sprintf("%s%d:%d", prefix, i+1, port))
+	}
+	for i := range entries {
+		if err = h.addEntry(i, fmt.Sprintf("%s%d", prefix, i+1), port, strings.Join(seeds, ",")); err != nil {
+			return err
+		}
+	}
+	for i := range h.config.Agents {
+		if err = h.addAgent(ctx, i, fmt.Sprintf("%s%d", prefix, i+101), port, strings.Join(seeds, ",")); err != nil {
+			return err
+		}
+	}
+	for _, p := range append(append([]*Process{}, h.Entries...), h.Agents...) {
+		if err = p.Start(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Harness) addEntry(index int, ip string, port int, seeds string) error {
+	zone := zones[index%len(zones)]
+	node := "front-" + zone + "-1"
+	endpoint := h.Store.Endpoint()
+	h.Endpoints = append(h.Endpoints, endpoint)
+	values := commonValues(node, zone, ip, port, seeds)
+	values["platform.address"] = h.serve(h.limitRecords(endpoint))
+	h.fronts = append(h.fronts, values["listen.front"])
+	h.readies = append(h.readies, values["listen.ready"])
+	p, err := h.newProcess("entry", node, values)
+	h.Entries = append(h.Entries, p)
+	return err
+}
+
+func (h *Harness) addAgent(ctx context.Context, index int, ip string, port int, seeds string) error {
+	zone := zones[index%len(zones)]
+	node := fmt.Sprintf("side-%s-%d", zone, 1+index/len(zones))
+	executor := executorserver.New(executorserver.Config{
+		ID:           fmt.Sprintf("i-7f3a91c%d", index),
+		Service:      Service,
+		Zone:         zone,
+		Rack:         fmt.Sprintf("r1-%d", index%len(zones)),
+		Accelerators: h.config.Accelerators,
+		MaxLease:     maxLease,
+		Clock:        h.config.Clock,
+		Recorder:     h.Recorder,
+		Random:       rand.New(rand.NewPCG(1, uint64(index))),
+	})
+	h.Executors = append(h.Executors, executor)
+	values := commonValues(node, zone, ip, port, seeds)
+	values["app"] = h.serve(executor)
+	values["limits.memoryMb"], values["limits.cpuShare"] = "152", "0.24"
+	p, err := h.newProcess("agent", node, values)
+	h.Agents = append(h.Agents, p)
+	go executor.Run(ctx)
+	go executor.SendHeartbeats(ctx, "http://"+values["listen.control"])
+	return err
+}
+
+func (h *Harness) newProcess(role, node string, values map[string]string) (*Process, error) {
+	path, err := renderSettings(h.directory, role+".ini", node, values)
+	return &Process{
+		Name:    node,
+		logPath: filepath.Join(h.directory, node+".log"),
+		args:    []string{program, role, "--settings", path},
+	}, err
+}
+
+func (h *Harness) serve(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	h.servers = append(h.servers, server)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// freePort returns a free port of an address. Only this case uses the address, so that the ports after it are taken to
+// be free as well.
+func freePort(ctx context.Context, ip string) (int, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", ip+":0")
+	if err != nil {
+		return 0, fmt.Errorf("find free port: %w", err)
+	}
+	defer func() { _ = listener.Close() }()
+	address, ok := listener.Addr().(*net.TCPAddr)
+	if !ok {
+		return 0, fmt.Errorf("find free port: %s is not a TCP address", listener.Addr())
+	}
+	return min(address.Port, 65000), nil
+}
+
+// Sleep waits on the real clock.
+func (h *Harness) Sleep(duration time.Duration) {
+	h.config.Clock.Sleep(duration)
+}
+
+// Note adds a line to the record.
+func (h *Harness) Note(format string, args ...any) {
+	h.config.Record.Add(format, args...)
+}
+
+// Now returns the current time.
+func (h *Harness) Now() time.Time {
+	return h.config.Clock.Now()
+}
