--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -60,8 +60,10 @@
 	// fronts and readies are the entries' addresses for callers and for the readiness check.
 	fronts  []string
 	readies []string
-	servers []*httptest.Server
-	cancel  context.CancelFunc
+	// controls are the agents' addresses for heartbeats.
+	controls []string
+	servers  []*httptest.Server
+	cancel   context.CancelFunc
 	// rejectedAppends counts the appends over the store's limits.
 	rejectedAppends atomic.Int64
 	// largestRecord is the size of the largest record that was sent to the store.
@@ -282,6 +284,7 @@
 	h.Executors = append(h.Executors, executor)
 	values := commonValues(node, zone, ip, port, seeds)
 	values["app"] = h.serve(executor)
+	h.controls = append(h.controls, values["listen.control"])
 	values["limits.memoryMb"], values["limits.cpuShare"] = "152", "0.24"
 	p, err := h.newProcess("agent", node, values)
 	h.Agents = append(h.Agents, p)
@@ -334,3 +337,21 @@
 func (h *Harness) Now() time.Time {
 	return h.config.Clock.Now()
 }
+
+// SendHeartbeat sends a heartbeat to an agent.
+func (h *Harness) SendHeartbeat(ctx context.Context, agent int, id string, body []byte) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut,
+		"http://"+h.controls[agent]+"/v1/instances/"+id, bytes.NewReader(body))
+	if err != nil {
+		h.config.Record.Add("heartbeat: %v", err)
+		return
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := h.client.Do(request)
+	if err != nil {
+		h.config.Record.Add("heartbeat: %v", err)
+		return
+	}
+	_ = response.Body.Close()
+	h.config.Record.Add("other writer: PUT /v1/instances/%s at %s: %d", id, h.Agents[agent].Name, response.StatusCode)
+}
