--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -32,6 +32,8 @@
 	callTimeout = 3 * time.Second
 	readyWait   = 15 * time.Second
 	pollPause   = 50 * time.Millisecond
+	// executorSeed makes the clocks of the first two executors read more at first than after a restart.
+	executorSeed = 39
 )
 
 // zones are the availability zones, given to the processes in turn.
@@ -75,6 +77,11 @@
 	largestRecord atomic.Int64
 }
 
+// ExecutorID returns the id of the executor with an index.
+func ExecutorID(index int) string {
+	return fmt.Sprintf("i-7f3a91c%d", index)
+}
+
 // Start starts the store, the executors, the entries and the agents.
 func Start(ctx context.Context, config Config) (*Harness, error) {
 	directory, err := os.MkdirTemp("", "radishpath-review-")
@@ -321,7 +328,7 @@
 	zone := zones[index%len(zones)]
 	node := fmt.Sprintf("side-%s-%d", zone, 1+index/len(zones))
 	executor := executorserver.New(executorserver.Config{
-		ID:           fmt.Sprintf("i-7f3a91c%d", index),
+		ID:           ExecutorID(index),
 		Service:      Service,
 		Zone:         zone,
 		Rack:         fmt.Sprintf("r1-%d", index%len(zones)),
@@ -329,7 +336,7 @@
 		MaxLease:     maxLease,
 		Clock:        h.config.Clock,
 		Recorder:     h.Recorder,
-		Random:       rand.New(rand.NewPCG(1, uint64(index))),
+		Random:       rand.New(rand.NewPCG(executorSeed, uint64(index))),
 	})
 	h.Executors = append(h.Executors, executor)
 	values := commonValues(node, zone, fmt.Sprintf("%s%d", h.ipPrefix, index+101), h.port, h.seeds(1))
@@ -406,3 +413,10 @@
 	_ = response.Body.Close()
 	h.config.Record.Add("other writer: PUT /v1/instances/%s at %s: %d", id, h.Agents[agent].Name, response.StatusCode)
 }
+
+// RestartAgent kills an agent and starts it again after a downtime.
+func (h *Harness) RestartAgent(ctx context.Context, index int, downTime time.Duration) error {
+	h.Agents[index].Kill()
+	h.config.Clock.Sleep(downTime)
+	return h.Agents[index].Start(ctx)
+}
