--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -53,9 +53,8 @@
 	config    Config
 	directory string
 	client    *http.Client
-	// Store is the simulated store; Endpoints are the entries' paths to it.
+	// Store is the simulated store.
 	Store     *storeserver.Server
-	Endpoints []*storeserver.Endpoint
 	Recorder  *executorserver.Recorder
 	Executors []*executorserver.Executor
 	Entries   []*Process
@@ -204,26 +203,6 @@
 	return starts
 }
 
-// Leader returns the index of the entry whose log names the newest term; -1 if there is none.
-func (h *Harness) Leader() int {
-	leader, newest := -1, ""
-	for i, entry := range h.Entries {
-		text, err := os.ReadFile(entry.logPath)
-		if err != nil {
-			continue
-		}
-		for line := range strings.SplitSeq(string(text), "\n") {
-			if !strings.Contains(line, `"scheduling begins"`) {
-				continue
-			}
-			if _, after, found := strings.Cut(line, `"@timestamp":"`); found && after[:27] > newest {
-				leader, newest = i, after[:27]
-			}
-		}
-	}
-	return leader
-}
-
 func (h *Harness) isReady(ctx context.Context, address string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/ready", nil)
 	if err != nil {
@@ -289,7 +268,7 @@
 	if moved {
 		generation = 2
 	}
-	h.Entries, h.Endpoints, h.fronts, h.readies = nil, nil, nil, nil
+	h.Entries, h.fronts, h.readies = nil, nil, nil
 	for i := range entries {
 		if err := h.addEntry(i, generation); err != nil {
 			return err
@@ -313,10 +292,8 @@
 func (h *Harness) addEntry(index, generation int) error {
 	zone := zones[index%len(zones)]
 	node := fmt.Sprintf("front-%s-%d", zone, generation)
-	endpoint := h.Store.Endpoint()
-	h.Endpoints = append(h.Endpoints, endpoint)
 	values := commonValues(node, zone, h.entryIP(index, generation), h.port, h.seeds(generation))
-	values["platform.address"] = h.serve(h.limitRecords(endpoint))
+	values["platform.address"] = h.serve(h.limitRecords(h.Store.Endpoint()))
 	h.fronts = append(h.fronts, values["listen.front"])
 	h.readies = append(h.readies, values["listen.ready"])
 	p, err := h.newProcess("entry", node, values)
