--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"os/signal"
@@ -44,15 +45,17 @@
 	Run func(ctx context.Context, h *Harness, trouble bool) (broken bool, err error)
 }
 
-// Main runs a case and returns the exit code.
+// Main runs a case and returns the exit code. The flag -trouble=false leaves out the disruption.
 func (c Case) Main() int {
+	trouble := flag.Bool("trouble", true, "play the disruption")
+	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, maxCaseTime)
 	defer cancel()
 	clock := clockwork.NewRealClock() //nolint:forbidigo // a case runs on the real clock
 	record := NewRecord(clock, c.Folder)
-	broken, err := c.run(ctx, clock, record)
+	broken, err := c.run(ctx, clock, record, *trouble)
 	switch {
 	case err != nil:
 		record.Add("result: the case couldn't run: %v", err)
@@ -83,7 +86,7 @@
 	return text, nil
 }
 
-func (c Case) run(ctx context.Context, clock clockwork.Clock, record *Record) (bool, error) {
+func (c Case) run(ctx context.Context, clock clockwork.Clock, record *Record, trouble bool) (bool, error) {
 	config, err := os.ReadFile(filepath.Join("review", "harness", "config.json"))
 	if err != nil {
 		return false, fmt.Errorf("read configuration: %w", err)
@@ -102,7 +105,7 @@
 	if !h.AwaitReady(ctx) {
 		return false, fmt.Errorf("entries aren't ready: %w", ErrNotRun)
 	}
-	broken, err := c.Run(ctx, h, os.Getenv("TROUBLE") != "0")
+	broken, err := c.Run(ctx, h, trouble)
 	record.AddSilently("", "what the executors did:")
 	record.AddSilently(h.Recorder.Events()...)
 	return broken, err
