agent, gateway, settings: find the entries that replace all others

Cause: agents learned of entries only from the seeds that they read at their start and from replies.

Change: processes read the settings file on SIGHUP and every 2 s, since it may change without a signal; seeds take effect at once. An agent that no scheduler answers for 2 to 14 s looks the scheduler's claim up in the store, with back-off. An agent that can't forward a report names the entries that it knows.

Why it works: whatever way the platform announces the new entries, the agent sees it within seconds, and the claim in the store names the scheduler even if the settings stay stale.

--- a/agent/config.go
+++ b/agent/config.go
@@ -36,6 +36,14 @@
 	reportInterval = time.Second
 	// forwardTimeout bounds a report forwarded for another agent.
 	forwardTimeout = 1500 * time.Millisecond
+	// lookupInterval is how long an agent is without a scheduler on average before it looks the scheduler up in the store
+	// for the first time. lookupSpread is the fraction by which an interval may be shorter or longer, so that the agents
+	// of a large cell stay under the store's limit of reads: 15,000 agents that lose the scheduler together make at most
+	// 1,250 lookups a second. maxLookupInterval bounds the interval, which grows with each lookup.
+	lookupInterval    = 8 * time.Second
+	lookupSpread      = 0.75
+	maxLookupInterval = time.Minute
+	lookupTimeout     = time.Second
 	// maxClockDrift is the fraction by which the executor's clock may run slower than the agent's.
 	maxClockDrift = 0.02
 )
@@ -53,7 +61,8 @@
 	// Address is the address at which this agent accepts reports of other agents, to forward them to the scheduler.
 	Address string
 	// Process identifies one run of the agent's process; later runs have greater values.
-	Process       int64
+	Process int64
+	// SeedAddresses contains the addresses of the entries that the settings name at startup.
 	SeedAddresses []string
 	Logger        hclog.Logger
 	Clock         clockwork.Clock
@@ -61,6 +70,9 @@
 	Executor      ExecutorClient
 	// Call sends a request of the peer protocol and receives the reply.
 	Call func(ctx context.Context, address string, request, reply proto.Message) error
+	// LookupScheduler returns the address of the scheduler from the store; empty if the cell has none. Nil disables
+	// lookups.
+	LookupScheduler func(ctx context.Context) (string, error)
 	// CloseSession closes the connection to an address.
 	CloseSession func(address string)
 }
--- a/agent/controller.go
+++ b/agent/controller.go
@@ -22,9 +22,13 @@
 	// fenceRaisedAt is when the generation was last raised because the executor rejected the fence.
 	fenceRaisedAt    time.Duration
 	schedulerAddress string
-	entryAddresses   []string
-	agentAddresses   []string
-	lastSequence     uint64
+	// seedAddresses are the entries that the settings name; entryAddresses are those and the ones learned from replies.
+	seedAddresses  []string
+	entryAddresses []string
+	agentAddresses []string
+	// contactAt is when a scheduler last replied to a report; 0 if none has.
+	contactAt    time.Duration
+	lastSequence uint64
 	// lastAnswered is the sequence number of the report whose reply was applied last.
 	lastAnswered uint64
 	// reportSignal and holdSignal hold a value while a report or a hold is due.
@@ -40,6 +44,7 @@
 func New(config Config) *Controller {
 	return &Controller{
 		config:         config,
+		seedAddresses:  config.SeedAddresses,
 		entryAddresses: config.SeedAddresses,
 		reportSignal:   make(chan struct{}, 1),
 		holdSignal:     make(chan struct{}, 1),
@@ -48,7 +53,7 @@
 
 // Run runs the agent until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	holdLoopDone, reportLoopDone := make(chan struct{}), make(chan struct{})
+	holdLoopDone, reportLoopDone, lookupLoopDone := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(holdLoopDone)
 		c.holdLoop(ctx)
@@ -57,8 +62,13 @@
 		defer close(reportLoopDone)
 		c.reportLoop(ctx)
 	}()
+	go func() {
+		defer close(lookupLoopDone)
+		c.lookupLoop(ctx)
+	}()
 	<-holdLoopDone
 	<-reportLoopDone
+	<-lookupLoopDone
 	c.calls.Wait()
 	c.orders.Wait()
 	c.finalHold(context.WithoutCancel(ctx))
--- a/agent/report.go
+++ b/agent/report.go
@@ -192,6 +192,7 @@
 	c.applyOrders(ctx, report.GetSequence(), orders)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.contactAt = c.config.BootTime.Now()
 	if current != nil && current.fence.Epoch == orders.GetEpoch() && wasProcessed(report, orders) {
 		// From here on the reply to an earlier report, which may order a rejected start again, is ignored.
 		current.removeDelivered(report)
@@ -225,7 +226,7 @@
 	listed := orders.GetEntries()
 	if orders.GetEpoch() != 0 && orders.GetEpoch() >= c.epoch && len(listed) > 0 {
 		c.entryAddresses = slices.DeleteFunc(slices.Clone(c.entryAddresses), func(address string) bool {
-			return !slices.Contains(c.config.SeedAddresses, address) && !slices.Contains(listed, address)
+			return !slices.Contains(c.seedAddresses, address) && !slices.Contains(listed, address)
 		})
 	}
 	for _, i := range rand.Perm(len(listed)) {
@@ -245,7 +246,7 @@
 		}
 	}
 	c.mu.Lock()
-	schedulerAddress := c.schedulerAddress
+	schedulerAddress, entryAddresses := c.schedulerAddress, c.entryAddresses
 	c.mu.Unlock()
 	report.Hops++
 	reply := &cellpb.Reply{}
@@ -256,7 +257,9 @@
 			"agent", report.GetAgent(), "scheduler", schedulerAddress, "error", err)
 		return &cellpb.Reply{
 			Body: &cellpb.Reply_Orders{
-				Orders: &cellpb.Orders{},
+				Orders: &cellpb.Orders{
+					Entries: entryAddresses,
+				},
 			},
 		}
 	}
--- a/cell/state.go
+++ b/cell/state.go
@@ -16,9 +16,11 @@
 	cancelPrefix   = "cancel/"
 	progressPrefix = "progress/"
 	memberPrefix   = "entry/"
-	claimKey       = "scheduler"
 )
 
+// ClaimKey is the key of the scheduler's claim.
+const ClaimKey = "scheduler"
+
 // JobState is the state of one job according to the log.
 type JobState struct {
 	Job       *cellpb.Job
@@ -73,7 +75,7 @@
 
 // ClaimRecord returns the record of a claim of leadership.
 func ClaimRecord(claim *cellpb.Claim) (LogRecord, error) {
-	return newRecord(claimKey, &cellpb.Record{Body: &cellpb.Record_Claim{Claim: claim}})
+	return newRecord(ClaimKey, &cellpb.Record{Body: &cellpb.Record_Claim{Claim: claim}})
 }
 
 // MemberRecord returns the record of the address of an entry process.
@@ -228,5 +230,5 @@
 
 // IsSchedulerKey reports whether a key is written only by the scheduler.
 func IsSchedulerKey(key string) bool {
-	return key == claimKey || strings.HasPrefix(key, progressPrefix)
+	return key == ClaimKey || strings.HasPrefix(key, progressPrefix)
 }
--- a/cell/validaterecord.go
+++ b/cell/validaterecord.go
@@ -22,7 +22,7 @@
 	prefix, id := splitKey(record.Key)
 	switch body := message.GetBody().(type) {
 	case *cellpb.Record_Claim:
-		if record.Key != claimKey {
+		if record.Key != ClaimKey {
 			return errWrongKey
 		}
 		return validateClaim(body.Claim, record.Offset)
--- a/cmd/agentcmd.go
+++ b/cmd/agentcmd.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/spf13/cobra"
 
 	"radishpath.example/radishpath/agent"
 	"radishpath.example/radishpath/boottime"
+	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/platform"
 	"radishpath.example/radishpath/settings"
 )
@@ -39,12 +41,17 @@
 			Start: executor.Start,
 			Stop:  executor.Stop,
 		},
-		Call:         process.pool.Call,
-		CloseSession: process.pool.CloseSession,
+		Call:            process.pool.Call,
+		LookupScheduler: c.newSchedulerLookup(),
+		CloseSession:    process.pool.CloseSession,
 	})
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	process.logReloadSignals(runCtx)
+	watcherDone := process.watchSettings(runCtx, settings.WatcherConfig{
+		Clock: c.Clock,
+		Path:  path,
+		Parse: settings.ParseAgent,
+	}, controller.SetSeedAddresses)
 	peerServerDone, err := process.servePeerProtocol(runCtx, controller.ForwardReport)
 	if err != nil {
 		return err
@@ -70,5 +77,30 @@
 	case err = <-adminServerDone:
 	}
 	cancel()
-	return errors.Join(err, <-controllerDone)
+	return errors.Join(err, <-controllerDone, <-watcherDone)
+}
+
+// newSchedulerLookup returns the function that reads the address of the scheduler from the store, or nil if the command
+// line and the environment name no store.
+func (c *Config) newSchedulerLookup() func(ctx context.Context) (string, error) {
+	if !c.storeNamed {
+		return nil
+	}
+	topic := platform.NewStore(platform.StoreConfig{
+		Address: c.store,
+	}).Topic(cellTopic)
+	return func(ctx context.Context) (string, error) {
+		record, ok, err := topic.ReadLatestOf(ctx, cell.ClaimKey)
+		if err != nil || !ok {
+			return "", err
+		}
+		state := cell.NewState()
+		if _, err = state.Apply(record); err != nil {
+			return "", fmt.Errorf("look up scheduler: %w", err)
+		}
+		if state.Claim().GetResigned() {
+			return "", nil
+		}
+		return state.Claim().GetAddress(), nil
+	}
 }
--- a/cmd/config.go
+++ b/cmd/config.go
@@ -33,7 +33,9 @@
 	// Terminal reports whether Stdout is a terminal.
 	Terminal func() bool
 
-	store       string
+	store string
+	// storeNamed is set if a flag or the environment names the store.
+	storeNamed  bool
 	credentials string
 	server      string
 	token       string
@@ -100,7 +102,8 @@
 			"  RADISHPATH_TOKEN   bearer token of a caller; unlike --token not visible in process listings\n\n" + exitCodesHelp,
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		PersistentPreRunE: func(*cobra.Command, []string) error {
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			c.storeNamed = cmd.Flags().Changed("store") || c.Getenv("RADISHPATH_STORE") != ""
 			if c.output != "text" && c.output != "json" {
 				return invalidInputError(fmt.Errorf("--output: %q is not text or json", c.output))
 			}
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -183,7 +184,11 @@
 	e := c.newEntry(process)
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	process.logReloadSignals(runCtx)
+	watcherDone := process.watchSettings(runCtx, settings.WatcherConfig{
+		Clock: c.Clock,
+		Path:  path,
+		Parse: settings.ParseEntry,
+	}, e.peerService.SetSeeds)
 	loopDone := make(chan error, 4)
 	go func() { loopDone <- e.operationsFollower.Run(runCtx) }()
 	go func() { loopDone <- e.cellFollower.Run(runCtx) }()
@@ -223,7 +228,8 @@
 	}
 	stopJobServer()
 	e.drain(c, callers)
-	return err
+	cancel()
+	return errors.Join(err, <-watcherDone)
 }
 
 // serveJobAPI serves the jobs API if the settings contain an address for it. The returned function starts the
--- a/cmd/process.go
+++ b/cmd/process.go
@@ -193,20 +193,21 @@
 	idleTimeout   = 30 * time.Second
 )
 
-// logReloadSignals logs each SIGHUP. The signal has no effect, because settings are read only at startup; everything
-// that can change at run time is read from the store.
-func (p *process) logReloadSignals(ctx context.Context) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
+// watchSettings calls apply whenever the settings file changes, until ctx ends. SIGHUP announces a change.
+func (p *process) watchSettings(
+	ctx context.Context, config settings.WatcherConfig, apply func(seedAddresses []string),
+) <-chan error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	config.Logger = p.logger
+	config.Files = settings.NewOSFileSystem()
+	config.Current = p.read
+	config.Signals = signals
+	config.Apply = func(changed settings.ProcessSettings) { apply(changed.SeedAddresses) }
+	watcherDone := make(chan error, 1)
 	go func() {
-		defer signal.Stop(sighup)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-sighup:
-				p.logger.Info("SIGHUP ignored", "effect", "none; settings are read only at startup")
-			}
-		}
+		defer signal.Stop(signals)
+		watcherDone <- settings.NewWatcher(config).Run(ctx)
 	}()
+	return watcherDone
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -36,7 +36,7 @@
 type PeerServiceConfig struct {
 	// Address is this entry's address for the peer protocol.
 	Address string
-	// Seeds are the addresses of other entries that the settings name.
+	// Seeds are the addresses of other entries that the settings name at startup.
 	Seeds  []string
 	Logger hclog.Logger
 	Clock  clockwork.Clock
@@ -57,7 +57,10 @@
 
 // PeerService serves the peer protocol to agents and other entries, and calls other entries.
 type PeerService struct {
-	config  PeerServiceConfig
+	config PeerServiceConfig
+	// seedsMu guards seeds, the addresses of other entries that the settings name.
+	seedsMu sync.Mutex
+	seeds   []string
 	relayMu sync.Mutex
 	// relayFailures counts the relayed appends that failed. lastFailures holds, for each entry whose last one failed, the
 	// count at that failure.
@@ -69,6 +72,7 @@
 func NewPeerService(config PeerServiceConfig) *PeerService {
 	return &PeerService{
 		config:       config,
+		seeds:        config.Seeds,
 		lastFailures: map[string]int64{},
 	}
 }
@@ -127,6 +131,13 @@
 	return joinedErr
 }
 
+// SetSeeds replaces the addresses of other entries that the settings name.
+func (p *PeerService) SetSeeds(addresses []string) {
+	p.seedsMu.Lock()
+	defer p.seedsMu.Unlock()
+	p.seeds = addresses
+}
+
 // relayCandidates returns the other entries in the order in which appends are relayed to them.
 func (p *PeerService) relayCandidates() []string {
 	candidates := p.otherEntries()
@@ -244,11 +255,14 @@
 func (p *PeerService) otherEntries() []string {
 	var memberAddresses []string
 	p.config.Mirror.View(func(state *cell.State) { memberAddresses = slices.Sorted(maps.Values(state.Members())) })
+	p.seedsMu.Lock()
+	seeds := p.seeds
+	p.seedsMu.Unlock()
 	seen := map[string]bool{
 		p.config.Address: true,
 	}
 	var otherEntries []string
-	for _, address := range append(memberAddresses, p.config.Seeds...) {
+	for _, address := range append(memberAddresses, seeds...) {
 		if !seen[address] {
 			seen[address] = true
 			otherEntries = append(otherEntries, address)
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -137,3 +137,16 @@
 		require.NoError(t, relay(), "once the unreachable entries are known, the others come first")
 	}
 }
+
+// Guards against an entry that can't read the store and calls only entries that are gone: the settings name others by
+// now.
+func TestSetSeeds(t *testing.T) {
+	peers := NewPeerService(PeerServiceConfig{
+		Address: "own:1",
+		Seeds:   []string{"former:1", "own:1"},
+		Mirror:  newMirror(t),
+	})
+	require.Equal(t, []string{"former:1"}, peers.otherEntries())
+	peers.SetSeeds([]string{"own:1", "new:1"})
+	require.Equal(t, []string{"new:1"}, peers.otherEntries())
+}
--- a/proof/harness_test.go
+++ b/proof/harness_test.go
@@ -66,17 +66,21 @@
 // newHarness starts three entries and the given number of agents in three zones, publishes the document and waits until
 // all entries are ready and a first job has completed.
 func newHarness(t *testing.T, agents int, document cluster.DocumentConfig) *harness {
+	t.Helper()
+	return newHarnessWithConfig(t, cluster.Config{Agents: agents}, document)
+}
+
+// newHarnessWithConfig is newHarness for a deployment that differs in more than the number of agents.
+func newHarnessWithConfig(t *testing.T, config cluster.Config, document cluster.DocumentConfig) *harness {
 	t.Helper()
 	t.Parallel()
 	clock := clockwork.NewRealClock()
-	deployment, err := cluster.Start(t.Context(), cluster.Config{
-		BinaryPath: binaryPath,
-		Clock:      clock,
-		Entries:    3,
-		Agents:     agents,
-		Zones:      zones,
-		Seed:       executorSeed,
-	})
+	config.BinaryPath = binaryPath
+	config.Clock = clock
+	config.Entries = 3
+	config.Zones = zones
+	config.Seed = executorSeed
+	deployment, err := cluster.Start(t.Context(), config)
 	require.NoError(t, err)
 	h := &harness{
 		t:       t,
@@ -91,14 +95,7 @@
 		deployment.Close()
 	})
 	require.NoError(t, h.Publish(1, cluster.DocumentText(document)))
-	h.await(10*time.Second, "entries are ready", func() bool {
-		for _, entry := range h.Entries {
-			if !h.client.IsReady(t.Context(), entry.ReadyAddress) {
-				return false
-			}
-		}
-		return true
-	})
+	h.awaitEntriesReady(2 * reactionTimeout)
 	firstJob := h.submit(h.job("10ms"))
 	h.awaitCompleted(firstJob, 10*time.Second)
 	return h
@@ -136,6 +133,19 @@
 	}
 }
 
+// awaitEntriesReady waits until all entries are ready.
+func (h *harness) awaitEntriesReady(timeout time.Duration) {
+	h.t.Helper()
+	h.await(timeout, "entries are ready", func() bool {
+		for _, entry := range h.Entries {
+			if !h.client.IsReady(h.t.Context(), entry.ReadyAddress) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // awaitCompleted queries the entries in turn until one of them reports a job as completed.
 func (h *harness) awaitCompleted(job cluster.Job, timeout time.Duration) {
 	h.t.Helper()
--- a/proof/odd_records_test.go
+++ b/proof/odd_records_test.go
@@ -63,14 +63,7 @@
 	for _, entry := range h.Entries {
 		h.restart(entry, 0)
 	}
-	h.await(2*reactionTimeout, "entries are ready after a restart", func() bool {
-		for _, entry := range h.Entries {
-			if !h.client.IsReady(t.Context(), entry.ReadyAddress) {
-				return false
-			}
-		}
-		return true
-	})
+	h.awaitEntriesReady(2 * reactionTimeout)
 	h.awaitCompleted(h.submit(h.job("10ms")), 2*reactionTimeout)
 	h.requireServes(5)
 	h.requireNoViolations()
--- a/settings/doc.go
+++ b/settings/doc.go
@@ -1,4 +1,5 @@
-// Package settings parses and validates the INI settings of processes at startup and reports all findings at once.
+// Package settings parses and validates the INI settings of processes, reports all findings at once and watches the
+// settings file for changes.
 // docs/configuration.md describes the sections and keys.
 //
 // # Usage
@@ -9,6 +10,11 @@
 //	var findings settings.Findings
 //	if errors.As(err, &findings) { ... }
 //
+// Watcher passes on the settings whenever the file changes:
+//
+//	watcher := settings.NewWatcher(settings.WatcherConfig{Path: "entry.ini", Parse: settings.ParseEntry, ...})
+//	err := watcher.Run(ctx)
+//
 // Credentials loads the certificate files for mutual TLS and reloads them when they change:
 //
 //	credentials, err := settings.NewCredentials(settings.NewOSFileSystem(), entry.TLS)
--- a/settings/process.go
+++ b/settings/process.go
@@ -26,7 +26,8 @@
 	AdminAddress string
 	// StoreAddress is the address of the metadata store. Only entries use it.
 	StoreAddress string
-	// SeedAddresses contains the peer protocol addresses of the entries known at startup.
+	// SeedAddresses contains the peer protocol addresses of some entries. They may be stale, and change while the process
+	// runs.
 	SeedAddresses []string
 	// Cores is the number of CPU cores of the process, which may be a fraction.
 	Cores float64
@@ -61,6 +62,12 @@
 	Executor         string
 }
 
+// WithSeedAddresses returns the settings with other seeds.
+func (s ProcessSettings) WithSeedAddresses(addresses []string) ProcessSettings {
+	s.SeedAddresses = addresses
+	return s
+}
+
 // ParseEntry parses the settings of an entry.
 func ParseEntry(name string, text []byte) (ProcessSettings, error) {
 	file := inifile.Parse(name, text)
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -23,6 +23,8 @@
 	// maxLease is the maximum lease; executors shorten longer ones to it.
 	maxLease                = 6 * time.Second
 	acceleratorsPerExecutor = 8
+	// maxEntries is the number of addresses that each generation of entries has. Those of the agents start at 101.
+	maxEntries = 10
 	// serviceName is the service of all executors.
 	serviceName = "desk"
 )
@@ -53,6 +55,8 @@
 	Seed uint64
 	// UseProxies puts a Proxy in front of each executor and of each entry's address for callers.
 	UseProxies bool
+	// AgentStore gives the agents the address of the store.
+	AgentStore bool
 }
 
 // Cluster is a running deployment.
@@ -77,6 +81,8 @@
 	Proxies          []*Proxy
 	cancel           context.CancelFunc
 	servers          []*httptest.Server
+	// generation counts the replacements of all entries.
+	generation int
 }
 
 // Start starts the store, the executors and all processes of a cluster. They run until Close is called or the calling
@@ -157,17 +163,11 @@
 	}
 	c.basePort = basePort
 	c.StoreAddress = c.serveHTTP(c.Store.Endpoint())
-	var seeds []string
-	for i := range c.config.Entries {
-		seeds = append(seeds, fmt.Sprintf("%s%d:%d", c.ipPrefix, i+1, basePort))
-	}
-	for i := range c.config.Entries {
-		if err = c.addEntry(i, strings.Join(seeds, ",")); err != nil {
-			return err
-		}
+	if err = c.addEntries(); err != nil {
+		return err
 	}
 	for i := range c.config.Agents {
-		if err = c.addAgent(ctx, i, strings.Join(seeds, ",")); err != nil {
+		if err = c.addAgent(ctx, i); err != nil {
 			return err
 		}
 	}
@@ -179,14 +179,38 @@
 	return nil
 }
 
-func (c *Cluster) addEntry(index int, seeds string) error {
-	ip := fmt.Sprintf("%s%d", c.ipPrefix, index+1)
+// addEntries adds the entries of the current generation without starting them.
+func (c *Cluster) addEntries() error {
+	for i := range c.config.Entries {
+		if err := c.addEntry(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// entryIP returns the address of an entry of the current generation.
+func (c *Cluster) entryIP(index int) string {
+	return fmt.Sprintf("%s%d", c.ipPrefix, c.generation*maxEntries+index+1)
+}
+
+// seeds returns the addresses of the entries of the current generation, as the settings name them.
+func (c *Cluster) seeds() string {
+	var seeds []string
+	for i := range c.config.Entries {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", c.entryIP(i), c.basePort))
+	}
+	return strings.Join(seeds, ",")
+}
+
+func (c *Cluster) addEntry(index int) error {
+	ip := c.entryIP(index)
 	portAddress := func(offset int) string { return fmt.Sprintf("%s:%d", ip, c.basePort+offset) }
 	endpoint := c.Store.Endpoint()
 	p, err := c.newProcess("entry", index, ip, endpoint, fmt.Sprintf(
 		"store = %s\ncaller = %s\nready = %s\njobs = %s\nrevoke = 5s\ngrace = 4s\nseeds = %s\n",
 		c.serveHTTP(endpoint), portAddress(callerPortOffset), portAddress(readyPortOffset),
-		portAddress(jobsPortOffset), seeds))
+		portAddress(jobsPortOffset), c.seeds()))
 	if err != nil {
 		return err
 	}
@@ -203,7 +227,7 @@
 	return nil
 }
 
-func (c *Cluster) addAgent(ctx context.Context, index int, seeds string) error {
+func (c *Cluster) addAgent(ctx context.Context, index int) error {
 	ip := fmt.Sprintf("%s%d", c.ipPrefix, index+101)
 	executor := executorserver.New(executorserver.Config{
 		ID:                 fmt.Sprintf("i-%d", index),
@@ -231,10 +255,13 @@
 	go executor.SendHeartbeats(ctx, "http://"+controlAddress)
 	c.Executors = append(c.Executors, executor)
 	p, err := c.newProcess("agent", index, ip, nil,
-		fmt.Sprintf("control = %s\nexecutor = %s\nseeds = %s\n", controlAddress, address, seeds))
+		fmt.Sprintf("control = %s\nexecutor = %s\nseeds = %s\n", controlAddress, address, c.seeds()))
 	if err != nil {
 		return err
 	}
+	if c.config.AgentStore {
+		p.args = append(p.args, "--store", c.StoreAddress)
+	}
 	c.Agents = append(c.Agents, p)
 	return nil
 }
@@ -242,7 +269,7 @@
 func (c *Cluster) newProcess(
 	role string, index int, ip string, endpoint *storeserver.Endpoint, roleSettings string,
 ) (*Process, error) {
-	name := fmt.Sprintf("%s-%d", role, index+1)
+	name := fmt.Sprintf("%s-%d", role, c.generation*maxEntries+index+1)
 	settings := fmt.Sprintf("[%s]\nid = %s\nzone = %s\nlisten = %s:%d\nadmin = %s:%d\n%s", role, name, c.ZoneOf(index), ip,
 		c.basePort, ip, c.basePort+adminPortOffset, roleSettings)
 	path := filepath.Join(c.directory, name+".ini")
@@ -250,12 +277,13 @@
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
 	return &Process{
-		Name:     name,
-		Endpoint: endpoint,
-		clock:    c.config.Clock,
-		args:     []string{role, "--settings", path},
-		binary:   c.config.BinaryPath,
-		logPath:  filepath.Join(c.directory, name+".log"),
+		Name:         name,
+		Endpoint:     endpoint,
+		clock:        c.config.Clock,
+		args:         []string{role, "--settings", path},
+		binary:       c.config.BinaryPath,
+		settingsPath: path,
+		logPath:      filepath.Join(c.directory, name+".log"),
 	}, nil
 }
 
--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -24,10 +24,12 @@
 	clock    clockwork.Clock
 	args     []string
 	binary   string
-	logPath  string
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	exited   chan struct{}
+	// settingsPath is the path of the settings file.
+	settingsPath string
+	logPath      string
+	mu           sync.Mutex
+	cmd          *exec.Cmd
+	exited       chan struct{}
 	// restartMu is held during a restart.
 	restartMu sync.Mutex
 }
