agent: ask the executor before a heartbeat replaces its incarnation

Cause: any heartbeat with a later start time replaced the executor's incarnation for good. The executor's own heartbeats were dropped as late from then on, and its answer 421 changed nothing.

Change: a heartbeat of another incarnation only makes it a candidate. The first hold for it, which the executor answers with 421 or with its start time, confirms or refutes it. The current incarnation keeps its leases meanwhile. Within an incarnation, a service or zone that differs, or a sequence number that isn't higher, counts only after 5 s without an accepted heartbeat.

TestNextIncarnationBornEarlierIsUsed is replaced by a stricter form: the executor decides in both directions, where the earlier start time alone was ignored until a hold had shown it.

Why it works: the executor at the configured address is the only one that can answer under its id and start time, and the response is the first inventory, so that a true new incarnation costs no more calls.

--- a/agent/capacity_test.go
+++ b/agent/capacity_test.go
@@ -43,7 +43,7 @@
 		Executor: executor,
 	})
 	c.HandleHeartbeat(heartbeatWithAccelerators(1, 8))
-	c.switchIncarnation()
+	switchIncarnation(c)
 	<-c.reportSignal
 	return c, log
 }
@@ -89,7 +89,7 @@
 		restarted.Executor.Born = 2
 		c.HandleHeartbeat(restarted)
 	}
-	c.switchIncarnation()
+	switchIncarnation(c)
 	report, _ := c.report(false)
 	require.EqualValues(t, 2, report.GetExecutor().GetBorn())
 	require.EqualValues(t, 2, report.GetExecutor().GetAccelerators())
--- a/agent/config.go
+++ b/agent/config.go
@@ -44,6 +44,9 @@
 	lookupSpread      = 0.75
 	maxLookupInterval = time.Minute
 	lookupTimeout     = time.Second
+	// maxHeartbeatAge is how long after the newest heartbeat of an incarnation late ones are ignored. It is several
+	// heartbeat intervals.
+	maxHeartbeatAge = 5 * time.Second
 	// maxClockDrift is the fraction by which the executor's clock may run slower than the agent's.
 	maxClockDrift = 0.02
 )
--- a/agent/controller.go
+++ b/agent/controller.go
@@ -13,9 +13,9 @@
 type Controller struct {
 	config Config
 	mu     sync.Mutex
-	// lastHeartbeat is the newest heartbeat; incarnation is the executor's incarnation that receives orders.
-	lastHeartbeat *cell.Heartbeat
-	incarnation   *incarnation
+	// incarnation is the executor's incarnation that receives orders; unconfirmed are those that may take its place.
+	incarnation *incarnation
+	unconfirmed candidates
 	// epoch is the highest epoch received from a scheduler, generation that of the newest incarnation.
 	epoch      int64
 	generation int64
--- a/agent/generation_test.go
+++ b/agent/generation_test.go
@@ -82,7 +82,7 @@
 		},
 		Sequence: int64(c.lastSequence) + 1,
 	})
-	c.switchIncarnation()
+	switchIncarnation(c)
 	hold, current, ok := c.nextHold()
 	require.True(t, ok)
 	inventory, err := executor.hold(t.Context(), hold)
@@ -197,7 +197,7 @@
 				},
 				Sequence: 1,
 			})
-			c.switchIncarnation()
+			switchIncarnation(c)
 			if !test.replyBefore {
 				reply()
 			}
@@ -407,7 +407,7 @@
 				},
 				Sequence: 1,
 			})
-			c.switchIncarnation()
+			switchIncarnation(c)
 			var err error
 			for round := range 10 {
 				report, _ := c.report(false)
@@ -487,14 +487,17 @@
 		},
 		Sequence: 100,
 	}
+	executor.born = 1000
 	c.HandleHeartbeat(earlier)
-	c.switchIncarnation()
-	require.Equal(t, int64(1000), c.incarnation.executor.GetBorn(), "it may be a delayed heartbeat")
+	require.False(t, c.confirmCandidates(t.Context()))
+	require.Equal(t, int64(1000), c.incarnation.executor.GetBorn(), "it is a delayed heartbeat")
 
+	executor.born = 500
 	require.NoError(t, holdOnce(t, c, executor, time.Second))
 	report, _ := c.report(false)
 	require.True(t, report.GetExecutor().GetSilent(), "the lists are those of the earlier incarnation")
+	<-c.config.Clock.After(refutationTime)
 	c.HandleHeartbeat(earlier)
-	c.switchIncarnation()
+	require.False(t, c.confirmCandidates(t.Context()))
 	require.Equal(t, int64(500), c.incarnation.executor.GetBorn())
 }
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -28,10 +28,17 @@
 		},
 		Sequence: 1,
 	})
-	c.switchIncarnation()
+	switchIncarnation(c)
 	return c
 }
 
+// switchIncarnation switches to the incarnation of the newest heartbeat, as if the executor had confirmed it.
+func switchIncarnation(c *Controller) {
+	for _, confirmed := range c.unconfirmed.begin(0) {
+		c.switchIncarnation(confirmed.heartbeat.Executor)
+	}
+}
+
 // orderStart orders run 1 of the task a.0.0.0 at the first incarnation.
 func orderStart(ctx context.Context, c *Controller, resent bool) {
 	c.applyOrders(ctx, 1, &cellpb.Orders{
--- a/agent/holds.go
+++ b/agent/holds.go
@@ -11,13 +11,16 @@
 func (c *Controller) holdLoop(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		c.switchIncarnation()
+		unanswered := c.confirmCandidates(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		hold, current, ok := c.nextHold()
 		if !ok {
-			c.sleep(ctx, c.holdSignal, idleHoldWait)
+			c.sleep(ctx, c.holdSignal, c.idleWait(unanswered))
 			continue
 		}
-		if failures > 0 {
+		if failures > 0 || unanswered {
 			// The executor may have restarted; its new incarnation must not drop ends by the old one's numbers.
 			hold.Wait, hold.RecordedEnd = 0, 0
 		}
@@ -42,7 +45,18 @@
 		failures = 0
 		c.recordHoldResponse(current, requestedAt)
 		c.applyInventory(current, hold, inventory, requestedAt)
+		if unanswered {
+			c.sleep(ctx, c.holdSignal, orderRetryDelay)
+		}
+	}
+}
+
+// idleWait returns how long to wait while no hold is due.
+func (c *Controller) idleWait(unanswered bool) time.Duration {
+	if unanswered {
+		return orderRetryDelay
 	}
+	return idleHoldWait
 }
 
 // errHoldOutdated ends a pending hold whose fence is lower than that of the next one.
@@ -67,8 +81,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endHold = end
-	isNew := c.incarnation == nil || !sameIncarnation(c.incarnation.executor, c.lastHeartbeat.Executor)
-	if isNew || cell.ParseExecutorFence(fence).Generation < c.incarnation.generation {
+	if c.unconfirmed.untried || cell.ParseExecutorFence(fence).Generation < c.incarnation.generation {
 		end(errHoldOutdated)
 	}
 }
@@ -135,7 +148,6 @@
 		c.config.Logger.Info("response from another executor incarnation", "executor", hold.Executor,
 			"born", inventory.Born)
 		current.replaced = true
-		current.successorBorn = inventory.Born
 		notify(c.reportSignal)
 		return
 	}
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -33,12 +33,13 @@
 // mutex guards it.
 type incarnation struct {
 	executor *cellpb.Executor
+	// sequence is that of the newest heartbeat, which was accepted at heartbeatAt.
+	sequence    int64
+	heartbeatAt time.Duration
 	// replaced is set once the executor is known to have restarted, successorFenced once the next incarnation under the
 	// same id has seen a higher fence.
 	replaced        bool
 	successorFenced bool
-	// successorBorn is the start time of the next incarnation under the same id, as its response named it.
-	successorBorn int64
 	// silent is set while the executor leaves holds unanswered, unverified from the first failed hold on until one is
 	// answered: another incarnation may listen by then.
 	silent     bool
@@ -75,12 +76,14 @@
 	rejected         []*cellpb.Rejected
 }
 
-func newIncarnation(executor *cellpb.Executor, generation int64, now time.Duration) *incarnation {
+func newIncarnation(heartbeat cell.Heartbeat, generation int64, now time.Duration) *incarnation {
 	return &incarnation{
-		executor:   proto.CloneOf(executor),
-		generation: generation,
+		executor:    proto.CloneOf(heartbeat.Executor),
+		sequence:    heartbeat.Sequence,
+		heartbeatAt: now,
+		generation:  generation,
 		inventory: cell.Inventory{
-			Clock: time.Duration(executor.GetSteadyMs()) * time.Millisecond,
+			Clock: time.Duration(heartbeat.Executor.GetSteadyMs()) * time.Millisecond,
 		},
 		readAt:           now,
 		ordered:          map[run]bool{},
@@ -92,6 +95,21 @@
 	}
 }
 
+// acceptHeartbeat reports whether a heartbeat of this incarnation counts, and records it. A late one doesn't, nor one
+// with another service or zone, which an incarnation keeps. Either counts if no other has for maxHeartbeatAge: then the
+// one before came from another writer, and the executor's own would be ignored for good.
+func (i *incarnation) acceptHeartbeat(heartbeat cell.Heartbeat, now time.Duration) bool {
+	late := heartbeat.Sequence <= i.sequence
+	differs := heartbeat.Executor.GetService() != i.executor.GetService() ||
+		heartbeat.Executor.GetZone() != i.executor.GetZone()
+	if (late || differs) && now-i.heartbeatAt < maxHeartbeatAge {
+		return false
+	}
+	i.sequence = heartbeat.Sequence
+	i.heartbeatAt = now
+	return true
+}
+
 // beginOrder reports whether an order must be executed now, and marks it as in progress if so.
 func (i *incarnation) beginOrder(key run, isStart bool) bool {
 	if !isStart {
--- a/agent/incarnation_test.go
+++ b/agent/incarnation_test.go
@@ -11,10 +11,12 @@
 )
 
 func newTestIncarnation() *incarnation {
-	return newIncarnation(&cellpb.Executor{
-		Id:       "i-1",
-		Born:     1,
-		SteadyMs: 1000,
+	return newIncarnation(cell.Heartbeat{
+		Executor: &cellpb.Executor{
+			Id:       "i-1",
+			Born:     1,
+			SteadyMs: 1000,
+		},
 	}, 0, time.Minute)
 }
 
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -306,7 +306,7 @@
 	c.orders.Wait()
 	require.Zero(t, starts)
 	c.HandleHeartbeat(cell.Heartbeat{Executor: &cellpb.Executor{Id: "i-1", Born: 2}, Sequence: 1})
-	c.switchIncarnation()
+	switchIncarnation(c)
 	_, _, ok = c.nextHold()
 	require.True(t, ok, "the heartbeat describes the new incarnation")
 }
--- a/agent/shutdown_test.go
+++ b/agent/shutdown_test.go
@@ -54,7 +54,7 @@
 				Sequence: 1,
 			}
 			c.HandleHeartbeat(heartbeat)
-			c.switchIncarnation()
+			switchIncarnation(c)
 			c.incarnation.inventory.Running = []*cellpb.RunningTask{{Task: "a.0.0.0", Run: 1}}
 			c.HandleHeartbeat(cell.Heartbeat{Executor: &cellpb.Executor{Id: "i-1"}, ShuttingDown: true})
 			if test.earlier {
--- a/proof/odd_records_test.go
+++ b/proof/odd_records_test.go
@@ -23,17 +23,23 @@
 	h.t.Helper()
 	for _, address := range h.ControlAddresses {
 		for _, body := range cluster.OddHeartbeats() {
-			request, err := http.NewRequestWithContext(h.t.Context(), http.MethodPut,
-				"http://"+address+"/v1/instances/i-other", strings.NewReader(body))
-			require.NoError(h.t, err)
-			response, err := http.DefaultClient.Do(request)
-			require.NoError(h.t, err)
-			require.NoError(h.t, response.Body.Close())
-			require.Equal(h.t, http.StatusBadRequest, response.StatusCode, body)
+			require.Equal(h.t, http.StatusBadRequest, h.sendHeartbeat(address, "i-other", body), body)
 		}
 	}
 }
 
+// sendHeartbeat sends a heartbeat to an agent and returns the status of the response.
+func (h *harness) sendHeartbeat(address, executorID, body string) int {
+	h.t.Helper()
+	request, err := http.NewRequestWithContext(h.t.Context(), http.MethodPut,
+		"http://"+address+"/v1/instances/"+executorID, strings.NewReader(body))
+	require.NoError(h.t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(h.t, err)
+	require.NoError(h.t, response.Body.Close())
+	return response.StatusCode
+}
+
 // logLines returns the number of lines of a process's log that contain a text.
 func (h *harness) logLines(process *cluster.Process, text string) int {
 	h.t.Helper()
@@ -91,3 +97,34 @@
 		h.awaitCompleted(job, reactionTimeout)
 	}
 }
+
+// TestForeignHeartbeatsKeepExecutorsInUse guards against executors that a well-formed heartbeat of another writer takes
+// out of use: running tasks go on, and jobs that are accepted afterwards run.
+func TestForeignHeartbeatsKeepExecutorsInUse(t *testing.T) {
+	h := newHarness(t, 3, cluster.DocumentConfig{})
+	for kind := range cluster.ForeignHeartbeats(0, time.Time{}) {
+		running := h.submit(h.job("1s"))
+		h.awaitRunning(running, reactionTimeout)
+		for i, address := range h.ControlAddresses {
+			heartbeat := cluster.ForeignHeartbeats(i, h.clock.Now())[kind]
+			h.sendHeartbeat(address, heartbeat.ExecutorID, heartbeat.Body)
+		}
+		h.awaitCompleted(h.submit(h.job("10ms")), reactionTimeout)
+		h.awaitCompleted(running, reactionTimeout)
+		require.Equal(t, 1, h.startsOf(running), "the running task isn't started again")
+	}
+	h.Executors[0].Crash(time.Second)
+	h.awaitCompleted(h.submit(h.job("10ms")), reactionTimeout)
+	h.requireNoViolations()
+}
+
+// startsOf returns the number of starts of a job's first task.
+func (h *harness) startsOf(job cluster.Job) int {
+	starts := 0
+	for _, start := range h.Recorder.StartsSince(time.Time{}) {
+		if start.Task == job.ID+".0.0.0" {
+			starts++
+		}
+	}
+	return starts
+}
--- a/standin/cluster/oddrecords.go
+++ b/standin/cluster/oddrecords.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -64,6 +65,39 @@
 	return bodies
 }
 
+// ForeignHeartbeat is a well-formed heartbeat of another writer.
+type ForeignHeartbeat struct {
+	ExecutorID string
+	Body       string
+}
+
+// ForeignHeartbeats returns heartbeats that the executor with an index doesn't send, although nothing in them is
+// invalid. born is later than the start of the executor.
+func ForeignHeartbeats(index int, born time.Time) []ForeignHeartbeat {
+	ownID := fmt.Sprintf("i-%d", index)
+	var heartbeats []ForeignHeartbeat
+	for _, h := range []struct {
+		id      string
+		service string
+		state   string
+		seq     int64
+	}{
+		{id: "i-other", service: "tents", state: "ready", seq: 1},
+		{id: "i-another", service: serviceName, state: "ready", seq: 1},
+		{id: "i-third", service: serviceName, state: "draining", seq: 1},
+		{id: ownID, service: serviceName, state: "ready", seq: 1},
+		{id: ownID, service: "tents", state: "draining", seq: 1 << 40},
+	} {
+		heartbeats = append(heartbeats, ForeignHeartbeat{
+			ExecutorID: h.id,
+			Body: fmt.Sprintf(`{"service":%q,"address":"127.0.0.1:9","zone":"z","version":"v1","slots":8,"state":%q,`+
+				`"coldLeftMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a"],"clockMs":482,"born":%d,"seq":%d}`,
+				h.service, h.state, born.UnixMilli(), h.seq),
+		})
+	}
+	return heartbeats
+}
+
 func oddClaim() *cellpb.Record {
 	return &cellpb.Record{
 		Body: &cellpb.Record_Claim{
