--- a/agent/report.go
+++ b/agent/report.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"time"
 
 	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/peer"
 )
 
 // maxRelayAgents is the number of other agents tried as relays if no entry replies.
@@ -24,34 +24,15 @@
 	noSchedulerBackoff = 150 * time.Millisecond
 )
 
-// addressSelector chooses the address for the next report.
-type addressSelector struct {
-	// retryAt holds when an address that failed may be tried again.
-	retryAt map[string]time.Duration
-}
-
-// selectAddress returns the first candidate, the scheduler if it is known, once that may be tried. Otherwise it returns
-// the one that may be tried soonest; those that never failed come first. The order alone must not decide among the
-// others: a few that don't answer take longer to fail than their backoff lasts, so that the rest would never be tried.
-func (s *addressSelector) selectAddress(candidates []string, now time.Duration) string {
-	if len(candidates) == 0 {
-		return ""
-	}
-	if first := candidates[0]; now >= s.retryAt[first] {
-		return first
-	}
-	return slices.MinFunc(candidates, func(x, y string) int { return cmp.Compare(s.retryAt[x], s.retryAt[y]) })
-}
-
-// recordResult updates the backoff of an address after a call.
-func (s *addressSelector) recordResult(address string, err error, now time.Duration) {
+// recordReport records how a report to an address ended.
+func recordReport(selector *peer.Selector, address string, err error, now time.Duration) {
 	switch {
 	case err == nil:
-		delete(s.retryAt, address)
+		selector.RecordSuccess(address)
 	case errors.Is(err, errNoScheduler):
-		s.retryAt[address] = now + noSchedulerBackoff
+		selector.RecordFailure(address, now+noSchedulerBackoff)
 	default:
-		s.retryAt[address] = now + unreachableBackoff
+		selector.RecordFailure(address, now+unreachableBackoff)
 	}
 }
 
@@ -64,9 +45,7 @@
 
 // reportLoop keeps one report pending at the scheduler, and sends another one as soon as the state changes.
 func (c *Controller) reportLoop(ctx context.Context) {
-	selector := &addressSelector{
-		retryAt: map[string]time.Duration{},
-	}
+	selector := peer.NewSelector()
 	results := make(chan callResult, 1)
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -80,7 +59,7 @@
 // awaitCall waits until a call ends or the state changes, and reports whether the next report must be answered at once.
 // The end of an earlier call to the same address is ignored.
 func (c *Controller) awaitCall(
-	ctx context.Context, selector *addressSelector, results <-chan callResult, sequence uint64, address string,
+	ctx context.Context, selector *peer.Selector, results <-chan callResult, sequence uint64, address string,
 ) bool {
 	for {
 		select {
@@ -91,7 +70,7 @@
 		case <-c.config.Clock.After(reportTimeout + reportInterval):
 			return true
 		case result := <-results:
-			selector.recordResult(result.address, result.err, c.config.BootTime.Now())
+			recordReport(selector, result.address, result.err, c.config.BootTime.Now())
 			if result.err != nil {
 				c.config.Logger.Warn("report failed", "address", result.address, "error", result.err)
 			}
@@ -108,10 +87,10 @@
 
 // sendReport sends a report in the background.
 func (c *Controller) sendReport(
-	ctx context.Context, selector *addressSelector, noWait bool, results chan<- callResult,
+	ctx context.Context, selector *peer.Selector, noWait bool, results chan<- callResult,
 ) (uint64, string) {
 	report, current := c.report(noWait)
-	address := selector.selectAddress(c.candidates(), c.config.BootTime.Now())
+	address := selector.Select(c.candidates(), c.config.BootTime.Now())
 	c.calls.Go(func() {
 		err := c.exchangeReport(ctx, address, report, current)
 		select {
--- a/agent/report_test.go
+++ b/agent/report_test.go
@@ -14,25 +14,24 @@
 
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/peer"
 )
 
 // After a takeover an agent must find the new scheduler quickly: an address that knows no scheduler is retried soon,
 // and one that doesn't answer is skipped for longer.
 func TestAddressSelector(t *testing.T) {
 	candidates := []string{"dead", "entry-1", "entry-2"}
-	selector := &addressSelector{
-		retryAt: map[string]time.Duration{},
-	}
+	selector := peer.NewSelector()
 	now := time.Minute
-	require.Equal(t, "dead", selector.selectAddress(candidates, now))
-	selector.recordResult("dead", errors.New("timeout"), now)
-	require.Equal(t, "entry-1", selector.selectAddress(candidates, now))
-	selector.recordResult("entry-1", errNoScheduler, now)
-	require.Equal(t, "entry-2", selector.selectAddress(candidates, now))
-	selector.recordResult("entry-2", errNoScheduler, now)
-	require.Equal(t, "entry-1", selector.selectAddress(candidates, now), "all failed: the one that may be tried soonest")
-	require.Equal(t, "entry-1", selector.selectAddress(candidates, now+noSchedulerBackoff))
-	require.Equal(t, "dead", selector.selectAddress(candidates, now+unreachableBackoff))
+	require.Equal(t, "dead", selector.Select(candidates, now))
+	recordReport(selector, "dead", errors.New("timeout"), now)
+	require.Equal(t, "entry-1", selector.Select(candidates, now))
+	recordReport(selector, "entry-1", errNoScheduler, now)
+	require.Equal(t, "entry-2", selector.Select(candidates, now))
+	recordReport(selector, "entry-2", errNoScheduler, now)
+	require.Equal(t, "entry-1", selector.Select(candidates, now), "all failed: the one that may be tried soonest")
+	require.Equal(t, "entry-1", selector.Select(candidates, now+noSchedulerBackoff))
+	require.Equal(t, "dead", selector.Select(candidates, now+unreachableBackoff))
 }
 
 // Guards against a run that is started after it was rejected. The scheduler has received the rejection and may order
@@ -87,17 +86,15 @@
 func TestUnreachableAddressesDoNotHideReachableOnes(t *testing.T) {
 	const dialTime = 1060 * time.Millisecond
 	candidates := []string{"scheduler", "dead-1", "dead-2", "dead-3", "dead-4", "alive-1", "alive-2"}
-	selector := &addressSelector{
-		retryAt: map[string]time.Duration{},
-	}
+	selector := peer.NewSelector()
 	now := time.Minute
 	for range len(candidates) + 2 {
-		address := selector.selectAddress(candidates, now)
+		address := selector.Select(candidates, now)
 		if strings.HasPrefix(address, "alive") {
 			return
 		}
 		now += dialTime
-		selector.recordResult(address, errors.New("dial timeout"), now)
+		recordReport(selector, address, errors.New("dial timeout"), now)
 	}
 	require.Fail(t, "a reachable address was never tried")
 }
@@ -149,17 +146,15 @@
 	}
 	c := newTestController(ExecutorClient{})
 	c.updateAddresses(orders)
-	selector := &addressSelector{
-		retryAt: map[string]time.Duration{},
-	}
+	selector := peer.NewSelector()
 	now, failures := time.Minute, 0
 	for ; failures <= maxFailures; failures++ {
-		address := selector.selectAddress(c.candidates(), now)
+		address := selector.Select(c.candidates(), now)
 		if !strings.HasPrefix(address, "10.0.0.") {
 			break
 		}
 		now += time.Second
-		selector.recordResult(address, errors.New("dial timeout"), now)
+		recordReport(selector, address, errors.New("dial timeout"), now)
 	}
 	require.LessOrEqual(t, failures, maxFailures)
 }
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -110,6 +110,7 @@
 		Seeds:                process.read.SeedAddresses,
 		Logger:               process.logger,
 		Clock:                c.Clock,
+		BootTime:             bootClock,
 		Mirror:               e.mirror,
 		StateAge:             e.cellFollower.Age,
 		Report:               e.scheduler.Report,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/proto"
 
+	"radishpath.example/radishpath/boottime"
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 	"radishpath.example/radishpath/mirror"
@@ -40,7 +40,9 @@
 	Seeds  []string
 	Logger hclog.Logger
 	Clock  clockwork.Clock
-	Mirror *mirror.Mirror
+	// BootTime orders the failures of calls to other entries.
+	BootTime boottime.Clock
+	Mirror   *mirror.Mirror
 	// StateAge returns the maximum age of the data read from the cell's log; false before the first read.
 	StateAge func() (time.Duration, bool)
 	// Report passes an agent's report to the scheduler in this process; false if it isn't the cell's active scheduler.
@@ -61,11 +63,9 @@
 	// seedsMu guards seeds, the addresses of other entries that the settings name.
 	seedsMu sync.Mutex
 	seeds   []string
-	relayMu sync.Mutex
-	// relayFailures counts the relayed appends that failed. lastFailures holds, for each entry whose last one failed, the
-	// count at that failure.
-	relayFailures int64
-	lastFailures  map[string]int64
+	// relays and claimQueries order the other entries for relayed appends and for queries of the claim.
+	relays       *peer.Selector
+	claimQueries *peer.Selector
 }
 
 // NewPeerService returns a PeerService.
@@ -73,7 +73,8 @@
 	return &PeerService{
 		config:       config,
 		seeds:        config.Seeds,
-		lastFailures: map[string]int64{},
+		relays:       peer.NewSelector(),
+		claimQueries: peer.NewSelector(),
 	}
 }
 
@@ -104,11 +105,11 @@
 // and the others would never be asked.
 func (p *PeerService) RelayAppend(ctx context.Context, request *cellpb.Append) error {
 	joinedErr := error(nil)
-	for _, address := range p.relayCandidates() {
+	for _, address := range p.relays.Order(p.otherEntries()) {
 		reply := &cellpb.Reply{}
 		err := p.config.Call(ctx, address, &cellpb.Request{Body: &cellpb.Request_Append{Append: request}}, reply)
 		stored := err == nil && reply.GetAppended().GetStored()
-		p.recordRelay(address, stored)
+		p.recordCall(p.relays, address, stored)
 		switch {
 		case stored:
 			return nil
@@ -138,25 +139,14 @@
 	p.seeds = addresses
 }
 
-// relayCandidates returns the other entries in the order in which appends are relayed to them.
-func (p *PeerService) relayCandidates() []string {
-	candidates := p.otherEntries()
-	p.relayMu.Lock()
-	defer p.relayMu.Unlock()
-	slices.SortStableFunc(candidates, func(x, y string) int { return cmp.Compare(p.lastFailures[x], p.lastFailures[y]) })
-	return candidates
-}
-
-// recordRelay records whether an entry stored a relayed append.
-func (p *PeerService) recordRelay(address string, stored bool) {
-	p.relayMu.Lock()
-	defer p.relayMu.Unlock()
-	if stored {
-		delete(p.lastFailures, address)
+// recordCall records whether a call to an entry succeeded. One that failed comes after those that didn't, and after
+// those that failed earlier.
+func (p *PeerService) recordCall(selector *peer.Selector, address string, succeeded bool) {
+	if succeeded {
+		selector.RecordSuccess(address)
 		return
 	}
-	p.relayFailures++
-	p.lastFailures[address] = p.relayFailures
+	selector.RecordFailure(address, p.config.BootTime.Now())
 }
 
 // WatchClaim asks the other entries for the scheduler's claim while this entry can't read the cell's log, until ctx
@@ -171,8 +161,9 @@
 		if age, ok := p.config.StateAge(); ok && age < claimQueryAge {
 			continue
 		}
-		for _, address := range p.otherEntries() {
+		for _, address := range p.claimQueries.Order(p.otherEntries()) {
 			reply, err := p.queryClaim(ctx, address)
+			p.recordCall(p.claimQueries, address, err == nil)
 			if err != nil {
 				p.config.Logger.Debug("failed to query claim", "address", address, "error", err)
 				continue
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -55,6 +55,7 @@
 		Seeds:    []string{"new:1"},
 		Logger:   hclog.NewNullLogger(),
 		Clock:    clockwork.NewRealClock(),
+		BootTime: boottime.NewClock(),
 		Mirror:   local,
 		StateAge: func() (time.Duration, bool) { return time.Second, true },
 		Call: func(ctx context.Context, _ string, request, reply proto.Message) error {
@@ -110,9 +111,10 @@
 func TestRelayAppendReachesEntryBehindUnreachableOnes(t *testing.T) {
 	const attemptTimeout = 20 * time.Millisecond
 	peers := NewPeerService(PeerServiceConfig{
-		Address: "own:1",
-		Seeds:   []string{"dead-1:1", "dead-2:1", "alive:1", "dead-3:1"},
-		Mirror:  newMirror(t),
+		Address:  "own:1",
+		Seeds:    []string{"dead-1:1", "dead-2:1", "alive:1", "dead-3:1"},
+		Mirror:   newMirror(t),
+		BootTime: boottime.NewClock(),
 		Call: func(ctx context.Context, address string, _, reply proto.Message) error {
 			if address != "alive:1" {
 				<-ctx.Done()
--- a/simulation/entryprocess_test.go
+++ b/simulation/entryprocess_test.go
@@ -107,6 +107,7 @@
 		Seeds:                w.entryNames(),
 		Logger:               logger,
 		Clock:                clock,
+		BootTime:             bootTime,
 		Mirror:               cellMirror,
 		StateAge:             follower.Age,
 		Report:               entryScheduler.Report,
