agent: keep lookups of many agents below the store's limit of reads

Cause: second lookups, 3 to 21 s after the first, meet first ones of other agents at 12 to 14 s, which the figure of 1,250 a second left out.

Change: the first interval is 10 s on average, and it doubles with each lookup.

--- a/agent/config.go
+++ b/agent/config.go
@@ -38,9 +38,9 @@
 	forwardTimeout = 1500 * time.Millisecond
 	// lookupInterval is how long an agent is without a scheduler on average before it looks the scheduler up in the store
 	// for the first time. lookupSpread is the fraction by which an interval may be shorter or longer, so that the agents
-	// of a large cell stay under the store's limit of reads: 15,000 agents that lose the scheduler together make at most
-	// 1,250 lookups a second. maxLookupInterval bounds the interval, which grows with each lookup.
-	lookupInterval    = 8 * time.Second
+	// of a large cell stay under the store's limit of reads when they lose the scheduler together. The interval doubles
+	// with each lookup, up to maxLookupInterval.
+	lookupInterval    = 10 * time.Second
 	lookupSpread      = 0.75
 	maxLookupInterval = time.Minute
 	lookupTimeout     = time.Second
--- a/agent/lookup.go
+++ b/agent/lookup.go
@@ -40,6 +40,7 @@
 	intervals := backoff.NewExponentialBackOff()
 	intervals.InitialInterval = lookupInterval
 	intervals.RandomizationFactor = lookupSpread
+	intervals.Multiplier = 2
 	intervals.MaxInterval = maxLookupInterval
 	intervals.Reset()
 	lookedUpAt, interval := c.config.BootTime.Now(), intervals.NextBackOff()
