--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -119,19 +119,23 @@
 		Append:               e.cellLog.Append,
 		Call:                 process.pool.Call,
 	})
-	e.gateway = gateway.New(gateway.Config{
-		Logger:             process.logger,
+	e.gateway = c.newGateway(e, bootClock)
+	return e
+}
+
+func (c *Config) newGateway(e *entry, bootClock boottime.Clock) *gateway.Gateway {
+	return gateway.New(gateway.Config{
+		Logger:             e.logger,
 		Clock:              c.Clock,
 		BootTime:           bootClock,
-		Metrics:            process.metrics.Scope,
+		Metrics:            e.metrics.Scope,
 		Mirror:             e.mirror,
 		OperationsAge:      e.operationsFollower.Age,
 		StateAge:           e.cellFollower.Age,
-		KeyRevocationLimit: process.read.KeyRevocationDelay,
+		KeyRevocationLimit: e.read.KeyRevocationDelay,
 		Append:             e.cellLog.Append,
 		RelayAppend:        e.peerService.RelayAppend,
 	})
-	return e
 }
 
 // newAdviceFunc returns the function that requests advice, or nil if no advice service is configured.
