--- a/standin/cluster/oddrecords.go
+++ b/standin/cluster/oddrecords.go
@@ -13,28 +13,19 @@
 
 // LeaveOddRecords appends records that no process of a cell writes to every topic, as another writer might.
 func (c *Cluster) LeaveOddRecords() error {
-	for _, record := range []struct {
-		key    string
-		record *cellpb.Record
-	}{
-		{key: "scheduler", record: oddClaim()},
-		{key: "other", record: oddClaim()},
-		{key: "entry/other", record: oddMember()},
-		{key: "entry/\xff\xfe", record: oddMember()},
-		{key: "progress/00000000000000ff", record: oddProgress()},
-	} {
-		value, err := proto.Marshal(record.record)
-		if err != nil {
-			return fmt.Errorf("encode odd record: %w", err)
-		}
-		c.Store.Append("keyed.cell", record.key, value)
-	}
 	nested := []byte(strings.Repeat("[", 200_000))
 	for _, record := range []struct {
 		topic string
 		key   string
 		value []byte
+		// message is encoded as the value if it isn't nil.
+		message *cellpb.Record
 	}{
+		{topic: "keyed.cell", key: "scheduler", message: oddClaim()},
+		{topic: "keyed.cell", key: "other", message: oddClaim()},
+		{topic: "keyed.cell", key: "entry/other", message: oddMember()},
+		{topic: "keyed.cell", key: "entry/\xff\xfe", message: oddMember()},
+		{topic: "keyed.cell", key: "progress/00000000000000ff", message: oddProgress()},
 		{topic: "keyed.cell", key: "job/00000000000000fe", value: nested},
 		{topic: "keyed.cell", key: "job/00000000000000fd", value: bytes.Repeat([]byte{0xff}, 300_000)},
 		{topic: "keyed.cell", key: "", value: nested},
@@ -47,6 +38,13 @@
 		{topic: "keyed.op", key: "", value: []byte("x")},
 		{topic: "keyed.document", key: "text/9", value: nested},
 	} {
+		if record.message != nil {
+			value, err := proto.Marshal(record.message)
+			if err != nil {
+				return fmt.Errorf("encode odd record: %w", err)
+			}
+			record.value = value
+		}
 		c.Store.Append(record.topic, record.key, record.value)
 	}
 	return nil
