scheduler: a leader that can't append says that it doesn't lead

Cause: entries ask a silent leader after 0.4 s whether it still leads, and it says yes though its appends fail. They wait for leaderTimeout, 1 s, and for the claim delay.

Change: the reply to that question names no term while the last attempt to append has failed. The entry that asks claims; if the store rejects that claim as well, the leader goes on as before. The claim stays conditional on the end of the log and on its epoch, so that nothing else changes in a hand-over.

Why it works: the leader is the first to know that it can't append, and an entry that can is found half a second earlier.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -305,3 +305,21 @@
 		return ok && orders.GetGrantMs() > 0
 	}, waitTimeout, 50*time.Millisecond)
 }
+
+// Guards against results that nobody stores until the leader has been silent for leaderTimeout: the store rejects it, or
+// doesn't answer it, and serves the other entries. The leader must tell those that ask.
+func TestLeaderThatCannotAppendSaysSo(t *testing.T) {
+	faults := []storeserver.Fault{
+		storeserver.FaultUnavailable, storeserver.FaultReset, storeserver.FaultUnresponsive,
+	}
+	for _, fault := range faults {
+		_, leader := startLeader(t)
+		require.Equal(t, leader.Leading(), leader.Committing())
+		leader.endpoint.SetFault(fault, 0)
+		require.Eventually(t, func() bool { return leader.Committing() == 0 }, waitTimeout, 5*time.Millisecond)
+		require.Positive(t, leader.Leading(), "it goes on until another one claims")
+		leader.endpoint.SetFault(storeserver.FaultNone, 0)
+		require.Eventually(t, func() bool { return leader.Committing() != 0 }, waitTimeout, 5*time.Millisecond)
+		require.Equal(t, leader.Leading(), leader.Committing())
+	}
+}
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"radishpath.example/radishpath/cell"
@@ -39,6 +40,8 @@
 	sentVersions   map[string]int64
 	lastSequence   int64
 	appendInFlight bool
+	// appendFailing is set while the last attempt to append has failed.
+	appendFailing atomic.Bool
 	// lastConfirmed is when the last successful append was sent, at first the claim; 0 if that isn't known.
 	lastConfirmed time.Duration
 	resigning     bool
@@ -317,6 +320,7 @@
 		var sequenceErr *cell.SequenceError
 		switch {
 		case err == nil:
+			t.appendFailing.Store(false)
 			if failures > 0 {
 				t.config.Logger.Info("append to the log succeeded after retries",
 					"sequence", fence.Sequence, "failures", failures)
@@ -327,6 +331,7 @@
 		case failures == 0:
 			t.config.Logger.Warn("append to the log failed; retrying", "sequence", fence.Sequence, "error", err)
 		}
+		t.appendFailing.Store(true)
 		if errors.Is(err, cell.ErrOutcomeUnknown) {
 			timeout = min(2*timeout, maxAppendTimeout)
 		}
