--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -306,8 +306,8 @@
 	}, waitTimeout, 50*time.Millisecond)
 }
 
-// Guards against results that nobody stores until the leader has been silent for leaderTimeout: the store rejects it, or
-// doesn't answer it, and serves the other entries. The leader must tell those that ask.
+// Guards against results that nobody stores until the leader has been silent for leaderTimeout: the store rejects it,
+// or doesn't answer it, and serves the other entries. The leader must tell those that ask.
 func TestLeaderThatCannotAppendSaysSo(t *testing.T) {
 	faults := []storeserver.Fault{
 		storeserver.FaultUnavailable, storeserver.FaultReset, storeserver.FaultUnresponsive,
