scheduler: a leader whose log is only slow says that it leads

With a store that takes longer than 500 ms, each leader's first attempt times out, and the next entry would claim at once, where leaderTimeout of 1 s let the attempt succeed.

Change: only an attempt that was answered, with a rejection or a reset, counts.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -190,7 +190,7 @@
 }
 
 // Committing returns the epoch of the current term; 0 while this process isn't the leader, or its last attempt to
-// append has failed. Then another entry needn't wait for leaderTimeout: if the log takes its claim, it is the better
+// append has failed with an answer. Then another entry needn't wait for leaderTimeout: if the log takes its claim, it is the better
 // leader.
 func (s *Scheduler) Committing() int64 {
 	s.mu.Lock()
