--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -190,8 +190,8 @@
 }
 
 // Committing returns the epoch of the current term; 0 while this process isn't the leader, or its last attempt to
-// append has failed with an answer. Then another entry needn't wait for leaderTimeout: if the log takes its claim, it is the better
-// leader.
+// append has been rejected or reset. Then another entry needn't wait for leaderTimeout: if the log takes its claim, it
+// is the better leader.
 func (s *Scheduler) Committing() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
