agent: unanswered candidates delay holds by one timeout

All are at one address, so the first that gets no answer ends the round. TestUnansweredCandidatesDelayHoldsOnce failed before.

--- a/agent/confirmation.go
+++ b/agent/confirmation.go
@@ -18,11 +18,13 @@
 	c.mu.Lock()
 	pending := c.unconfirmed.begin(c.config.BootTime.Now())
 	c.mu.Unlock()
-	unanswered := false
 	for _, asked := range pending {
-		unanswered = !c.confirm(ctx, asked.heartbeat.Executor) || unanswered
+		if !c.confirm(ctx, asked.heartbeat.Executor) {
+			// The others are at the same address. Waiting for each would delay the current incarnation's holds.
+			return true
+		}
 	}
-	return unanswered
+	return false
 }
 
 // confirm asks the executor about one incarnation, and reports whether it answered.
--- a/agent/confirmation_test.go
+++ b/agent/confirmation_test.go
@@ -218,3 +218,29 @@
 		<-done
 	})
 }
+
+// Guards against leases that lapse while an executor doesn't answer: each of many heartbeats of other writers would
+// delay the next hold by a timeout.
+func TestUnansweredCandidatesDelayHoldsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var holds []cell.HoldRequest
+		c := newTestController(ExecutorClient{
+			Hold: func(ctx context.Context, hold cell.HoldRequest) (cell.Inventory, error) {
+				holds = append(holds, hold)
+				<-ctx.Done()
+				return cell.Inventory{}, fmt.Errorf("hold: %w", cell.ErrOutcomeUnknown)
+			},
+		})
+		for i := range maxCandidates {
+			odd := &identifiedExecutor{
+				id:   fmt.Sprintf("i-other-%d", i),
+				born: 2000,
+			}
+			c.HandleHeartbeat(odd.heartbeat(1))
+		}
+		startedAt := c.config.Clock.Now()
+		require.True(t, c.confirmCandidates(t.Context()))
+		require.Equal(t, orderTimeout, c.config.Clock.Since(startedAt))
+		require.Len(t, holds, 1)
+	})
+}
