scheduler: a rejected leader leads on, as before

A rejection then says nothing about the leader, but it named no term, and an entry whose claim was let through replaced it. Not traced in the logs.

What is needed is a leader that can tell the two apart.

--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -114,7 +114,7 @@
 		Mirror:               e.mirror,
 		StateAge:             e.cellFollower.Age,
 		Report:               e.scheduler.Report,
-		Committing:           e.scheduler.Committing,
+		Leading:              e.scheduler.Leading,
 		NextOperationsOffset: e.operationsFollower.NextOffset,
 		Append:               e.cellLog.Append,
 		Call:                 process.pool.Call,
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -47,8 +47,8 @@
 	StateAge func() (time.Duration, bool)
 	// Report passes an agent's report to the scheduler in this process; false if it isn't the cell's active scheduler.
 	Report func(ctx context.Context, report *cellpb.Report) (*cellpb.Orders, bool)
-	// Committing returns the epoch in which this process is the active scheduler; 0 if it isn't, or can't append.
-	Committing func() int64
+	// Leading returns the epoch in which this process is the active scheduler, 0 if it isn't.
+	Leading func() int64
 	// NextOperationsOffset returns the offset of the next record of the operators' log that this process will apply.
 	NextOperationsOffset func() int64
 	// Append appends records to the cell's log.
@@ -88,7 +88,7 @@
 	case *cellpb.Request_Ask:
 		claim, _ := p.config.Mirror.Claim()
 		return &cellpb.Reply{
-			Leading:    p.config.Committing(),
+			Leading:    p.config.Leading(),
 			Operations: p.config.NextOperationsOffset(),
 			Body: &cellpb.Reply_Claim{
 				Claim: claim,
@@ -173,8 +173,8 @@
 	}
 }
 
-// HolderStopped reports whether the holder of a claim has certainly stopped scheduling, or can't append: its process no
-// longer runs, or it reports another epoch or none.
+// HolderStopped reports whether the holder of a claim has certainly stopped scheduling: its process no longer runs, or
+// it reports another epoch or none.
 func (p *PeerService) HolderStopped(ctx context.Context, claim *cellpb.Claim) bool {
 	if claim.GetAddress() == p.config.Address {
 		// The claim is of an earlier process at this address.
@@ -187,7 +187,7 @@
 	return reply.GetLeading() != claim.GetEpoch()
 }
 
-// queryClaim asks an entry for the newest claim that it knows and for the epoch in which it schedules and can append.
+// queryClaim asks an entry for the newest claim that it knows and for the epoch in which it schedules itself.
 func (p *PeerService) queryClaim(ctx context.Context, address string) (*cellpb.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimQueryTimeout)
 	defer cancel()
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -75,7 +75,7 @@
 	NextOffset func() int64
 	// AwaitOffset waits until the mirror has applied the record at an offset.
 	AwaitOffset func(ctx context.Context, offset int64) error
-	// HolderStopped reports whether the holder of a claim has certainly stopped scheduling, or can't append.
+	// HolderStopped reports whether the holder of a claim has certainly stopped scheduling.
 	HolderStopped func(ctx context.Context, claim *cellpb.Claim) bool
 	// RequestAdvice asks the advice service which executors may run a step, and returns a ticket for each of them and how
 	// long the tickets are valid. It is nil if there is no such service.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -167,8 +167,7 @@
 	return now-s.vacantSince >= s.claimDelay()
 }
 
-// leaderLost reports whether the leader has stopped or can't append, or has written nothing for so long that it must be
-// replaced.
+// leaderLost reports whether the leader has stopped, or has written nothing for so long that it must be replaced.
 func (s *Scheduler) leaderLost(ctx context.Context, claim *cellpb.Claim, silence time.Duration) bool {
 	switch {
 	case silence >= leaderTimeout+s.claimDelay():
@@ -189,18 +188,6 @@
 	return s.term.epoch
 }
 
-// Committing returns the epoch of the current term; 0 while this process isn't the leader, or its last attempt to
-// append has been rejected or reset. Then another entry needn't wait for leaderTimeout: if the log takes its claim, it
-// is the better leader.
-func (s *Scheduler) Committing() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.term == nil || s.term.appendFailing.Load() {
-		return 0
-	}
-	return s.term.epoch
-}
-
 // claimDelay returns how long this process waits so that larger ones can claim first.
 func (s *Scheduler) claimDelay() time.Duration {
 	return time.Duration(max(1-s.config.Cores, 0) * float64(maxClaimDelay))
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"radishpath.example/radishpath/cell"
@@ -40,9 +39,6 @@
 	sentVersions   map[string]int64
 	lastSequence   int64
 	appendInFlight bool
-	// appendFailing is set while the last attempt to append has failed. An attempt that got no answer in time doesn't
-	// count: a log that is only slow would be slow for another leader, too.
-	appendFailing atomic.Bool
 	// lastConfirmed is when the last successful append was sent, at first the claim; 0 if that isn't known.
 	lastConfirmed time.Duration
 	resigning     bool
@@ -321,7 +317,6 @@
 		var sequenceErr *cell.SequenceError
 		switch {
 		case err == nil:
-			t.appendFailing.Store(false)
 			if failures > 0 {
 				t.config.Logger.Info("append to the log succeeded after retries",
 					"sequence", fence.Sequence, "failures", failures)
@@ -332,7 +327,6 @@
 		case failures == 0:
 			t.config.Logger.Warn("append to the log failed; retrying", "sequence", fence.Sequence, "error", err)
 		}
-		t.appendFailing.Store(!errors.Is(err, context.DeadlineExceeded))
 		if errors.Is(err, cell.ErrOutcomeUnknown) {
 			timeout = min(2*timeout, maxAppendTimeout)
 		}
