agent: share the start of the hold loop between two tests

TestOddHeartbeatsKeepExecutorInUse and TestUnansweredCandidateIsAskedAgain each started and ended the loop with the same lines, and the former read the clock past the one passed in.

--- a/agent/confirmation_test.go
+++ b/agent/confirmation_test.go
@@ -130,22 +130,18 @@
 		id:   "i-1",
 		born: 1000,
 	}
-	startedAt := time.Now() //nolint:forbidigo // the fake clock of the test
+	clock := clockwork.NewRealClock()
+	startedAt := clock.Now()
 	c := New(Config{
 		ID:       "agent-1",
 		Logger:   hclog.NewNullLogger(),
-		Clock:    clockwork.NewRealClock(),
-		BootTime: boottime.Clock{Now: func() time.Duration { return clockwork.NewRealClock().Since(startedAt) }},
+		Clock:    clock,
+		BootTime: boottime.Clock{Now: func() time.Duration { return clock.Since(startedAt) }},
 		Executor: ExecutorClient{
 			Hold: executor.hold,
 		},
 	})
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c.holdLoop(ctx)
-	}()
+	stop := startHoldLoop(t, c)
 	sequence := int64(0)
 	beat := func() {
 		sequence++
@@ -184,8 +180,22 @@
 	synctest.Wait()
 	report, _ = c.report(false)
 	require.Equal(t, "i-10", report.GetExecutor().GetId(), "the true next incarnation is taken up at once")
-	cancel()
-	<-done
+	stop()
+}
+
+// startHoldLoop runs the hold loop. The returned function ends it and waits for its end.
+func startHoldLoop(t *testing.T, c *Controller) func() {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.holdLoop(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
 }
 
 // Guards against a next incarnation that is forgotten, or holds that stop, because it doesn't answer the first request.
@@ -198,12 +208,7 @@
 		c := newTestController(ExecutorClient{
 			Hold: executor.hold,
 		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			c.holdLoop(ctx)
-		}()
+		stop := startHoldLoop(t, c)
 		synctest.Wait()
 		executor.id, executor.born, executor.down = "i-2", 2000, true
 		c.HandleHeartbeat(executor.heartbeat(1))
@@ -214,8 +219,7 @@
 		<-c.config.Clock.After(2 * orderRetryDelay)
 		report, _ = c.report(false)
 		require.Equal(t, "i-2", report.GetExecutor().GetId())
-		cancel()
-		<-done
+		stop()
 	})
 }
 
