dispatch: sum up a job's runs in the line of its end

The line 'job ended' now has the time until the first and the last order, the objective, and the runs with their ends, stops and losses by reason, and the work lost. The counts begin anew with each scheduler. No decision changes.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -25,6 +25,7 @@
 	dirty bool
 	// firstSeen is when the scheduler learned of the job.
 	firstSeen time.Duration
+	history   jobHistory
 }
 
 // group holds the tasks of one step of one occurrence.
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"strings"
+
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
@@ -23,6 +25,7 @@
 	if end.GetKind() != cellpb.EndKind_END_KIND_DONE {
 		lost = lostWork(run, now)
 	}
+	j.history.addOutcome(endOutcome(end.GetKind()), lost)
 	p.config.Log("run ended", "task", end.GetTask(), "run", end.GetRun(), "agent", e.agent,
 		"kind", end.GetKind().String(), "ran", (now.BootTime - run.startedAt).Milliseconds(), "lost", lost)
 	switch end.GetKind() {
@@ -35,6 +38,11 @@
 	}
 }
 
+// endOutcome names the kind of a run's end in a job's history.
+func endOutcome(kind cellpb.EndKind) string {
+	return strings.ToLower(strings.TrimPrefix(kind.String(), "END_KIND_"))
+}
+
 func (p *Planner) recordSuccess(e *executor, run *taskRun, now Instant) {
 	t := run.task
 	e.health.resetFailures()
@@ -125,6 +133,7 @@
 	}
 	p.config.Log("stopping run", "task", run.task.id.String(), "run", run.runNumber, "agent", run.agent,
 		"reason", string(reason), "sent", run.sent, "lost", lostWork(run, now))
+	run.task.group.job.history.addOutcome("stop: "+string(reason), 0)
 	if !run.sent {
 		p.removeRun(run)
 		run.task.group.job.dirty = true
@@ -152,7 +161,10 @@
 	j.state = state
 	j.endedMs = now.WallMs
 	j.dirty = true
-	p.config.Log("job ended", "job", j.spec.GetId(), "state", state.String(), "queue", j.spec.GetQueue())
+	p.config.Log("job ended", append([]any{
+		"job", j.spec.GetId(), "state", state.String(), "queue", j.spec.GetQueue(),
+		"objective", p.objective(j).Milliseconds(),
+	}, j.history.fields(j.firstSeen, now.BootTime)...)...)
 	p.stopUnfinishedRuns(j, now)
 }
 
@@ -173,6 +185,7 @@
 func (p *Planner) markLost(run *taskRun, reason string, now Instant) {
 	p.config.Log("run lost", "task", run.task.id.String(), "run", run.runNumber, "agent", run.agent, "reason", reason,
 		"lost", lostWork(run, now))
+	run.task.group.job.history.addOutcome("lost: "+reason, lostWork(run, now))
 	p.removeRun(run)
 	run.task.group.job.dirty = true
 	p.stopGang(run.task.group, reasonMemberLost, now)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -252,6 +252,7 @@
 			startedAt:      now.BootTime,
 			checkpointedAt: now.BootTime,
 		})
+		u.group.job.history.addRun(now.BootTime)
 		p.config.Log("run ordered", "task", t.id.String(), "run", t.runNumber, "agent", c.agent, "executor", c.incarnation,
 			"config", p.operations.Config.Version, "reported", (now.BootTime - c.reportedAt).Milliseconds(),
 			"guaranteed", u.guaranteed, "slack", u.slack.Milliseconds(), "cores", int64(coreEquivalents(u.group.step)))
