agent: repeat unanswered orders after 0.1 s

Cause: one timeout bounded a slow request and was all that told a lost one. A start without an answer took 0.6 s, then waited for a hold requested later; the pending one took its 0.5 s or 1 s and 0.6 s more if it was lost as well, and two such holds made the executor silent, so that it got no work.

Change: a request counts as unanswered after repeatDelay, 0.1 s. Holds and stops, which are idempotent, are sent again beside the earlier copies until one is answered or the old timeout has passed, so that an executor that is slow loses nothing. Copies of a hold carry no ended run's number, as after a failed one. A start ends the pending hold and is sent again as soon as a hold that was requested later is answered; the rule that no start is sent without one stays, as does the number of copies, which ends with the first answer.

--- a/agent/config.go
+++ b/agent/config.go
@@ -20,7 +20,10 @@
 	// startHoldWait applies while a start waits for its answer, which the inventory may replace.
 	startHoldWait = 100 * time.Millisecond
 	// orderTimeout bounds one order to the executor, which is on the same machine.
-	orderTimeout    = 600 * time.Millisecond
+	orderTimeout = 600 * time.Millisecond
+	// repeatDelay is how long an order stays unanswered before it counts as lost and is sent again. Orders are idempotent,
+	// and an executor answers within a few milliseconds.
+	repeatDelay     = 100 * time.Millisecond
 	orderRetryDelay = 40 * time.Millisecond
 	// silentAfterFailures is the number of failed holds in a row after which the executor is reported as silent. One
 	// alone may be a lost response of a healthy executor.
--- a/agent/holds.go
+++ b/agent/holds.go
@@ -21,8 +21,7 @@
 			continue
 		}
 		if failures > 0 || unanswered {
-			// The executor may have restarted; its new incarnation must not drop ends by the old one's numbers.
-			hold.Wait, hold.RecordedEnd = 0, 0
+			hold = withoutWait(hold)
 		}
 		requestedAt := c.config.BootTime.Now()
 		inventory, err := c.requestHold(ctx, hold)
@@ -51,6 +50,13 @@
 	}
 }
 
+// withoutWait returns a hold for an executor that has left one unanswered. It may have restarted; its new incarnation
+// must not drop ends by the old one's numbers.
+func withoutWait(hold cell.HoldRequest) cell.HoldRequest {
+	hold.Wait, hold.RecordedEnd = 0, 0
+	return hold
+}
+
 // idleWait returns how long to wait while no hold is due.
 func (c *Controller) idleWait(unanswered bool) time.Duration {
 	if unanswered {
@@ -69,7 +75,13 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	c.setPendingHold(end, hold.Fence)
-	inventory, err := c.config.Executor.Hold(ctx, hold)
+	inventory, err := repeatUntilAnswered(ctx, c, hold.Wait+repeatDelay,
+		func(ctx context.Context, attempt int) (cell.Inventory, error) {
+			if attempt > 0 {
+				return c.config.Executor.Hold(ctx, withoutWait(hold))
+			}
+			return c.config.Executor.Hold(ctx, hold)
+		})
 	if err != nil && errors.Is(context.Cause(ctx), errHoldOutdated) {
 		return cell.Inventory{}, errHoldOutdated
 	}
@@ -116,7 +128,8 @@
 		Wait:        idleHoldWait,
 	}
 	switch {
-	case c.incarnation.fence != c.fence(c.incarnation) || c.incarnation.hasUnconfirmedOrders():
+	case c.incarnation.fence != c.fence(c.incarnation) || c.incarnation.hasUnconfirmedOrders() ||
+		c.incarnation.requestedAt < c.incarnation.unansweredAt:
 		// The scheduler or an order waits for this response.
 		hold.Wait = 0
 	case len(c.incarnation.starting) > 0:
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -44,6 +44,8 @@
 	// answered: another incarnation may listen by then.
 	silent     bool
 	unverified bool
+	// unansweredAt is when a start was last given up as unanswered. It is repeated after an inventory requested later.
+	unansweredAt time.Duration
 	// shutdownAt is when the executor announced its end; 0 if it didn't, or has answered a later hold.
 	shutdownAt time.Duration
 	inventory  cell.Inventory
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -52,91 +52,6 @@
 	}
 }
 
-// start sends a start to the executor until its outcome is known or the scheduler no longer orders it. After a request
-// without an answer it waits for an inventory that was requested later: the run may be listed there, and a repeated
-// request could reach the next incarnation of the executor.
-func (c *Controller) start(ctx context.Context, current *incarnation, key run, order *cellpb.Start) {
-	defer c.orderFinished(current, key, true)
-	// unanswered is set once an earlier request, perhaps of an earlier process of this agent, may still take effect.
-	unanswered, failedAt := order.GetResent(), time.Duration(0)
-	for {
-		attempt := c.prepareStart(current, key, failedAt)
-		switch {
-		case !attempt.ordered || attempt.listed || ctx.Err() != nil:
-			return
-		case attempt.draining:
-			c.rejectStart(ctx, current, key, "draining", unanswered)
-			return
-		case !attempt.verified:
-			c.sleep(ctx, nil, orderRetryDelay)
-			continue
-		}
-		err := c.requestStart(ctx, current, key, order, attempt)
-		rejected := &cell.OrderRejectedError{}
-		switch {
-		case err == nil:
-			c.config.Logger.Info("run started", "task", key.task, "run", key.run,
-				"until", attempt.deadline.Milliseconds(), "fence", attempt.fence)
-			c.started(current, key)
-			return
-		case errors.As(err, &rejected):
-			c.config.Logger.Info("executor rejected start", "task", key.task, "run", key.run, "reason", rejected.Reason)
-			if rejected.Reason != reasonFence {
-				c.rejectStart(ctx, current, key, rejected.Reason, unanswered)
-			}
-			return
-		case errors.Is(err, cell.ErrOtherIncarnation):
-			return
-		}
-		unanswered, failedAt = true, c.config.BootTime.Now()
-		c.config.Logger.Warn("start request failed; retrying", "task", key.task, "run", key.run, "error", err)
-	}
-}
-
-// startAttempt is what decides whether a request for a start is sent, and with which limits.
-type startAttempt struct {
-	// ordered is set while the scheduler orders the start at this incarnation.
-	ordered  bool
-	draining bool
-	// listed is set if the inventory holds the run, so that it needs no request.
-	listed bool
-	// verified is set unless a hold or an earlier request failed and no later inventory was read.
-	verified bool
-	deadline time.Duration
-	fence    int64
-}
-
-// prepareStart returns the next attempt of a start. failedAt is when the last request failed; 0 if none did.
-func (c *Controller) prepareStart(current *incarnation, key run, failedAt time.Duration) startAttempt {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return startAttempt{
-		ordered:  current.ordered[key] && !current.replaced,
-		draining: current.executor.GetDraining(),
-		listed:   current.isListed(key),
-		verified: !current.unverified && (failedAt == 0 || current.requestedAt >= failedAt),
-		deadline: min(current.earliestClock(c.config.BootTime.Now())+maxStartDelay, current.leaseLimit),
-		fence:    c.fence(current).Token(),
-	}
-}
-
-func (c *Controller) requestStart(
-	ctx context.Context, current *incarnation, key run, order *cellpb.Start, attempt startAttempt,
-) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	return c.config.Executor.Start(ctx, cell.TaskStart{
-		Executor:      current.executor.GetId(),
-		Task:          key.task,
-		Run:           key.run,
-		Spec:          order.GetSpec(),
-		Checkpoint:    order.GetCheckpoint(),
-		Ticket:        order.GetTicket(),
-		StartDeadline: attempt.deadline,
-		Fence:         attempt.fence,
-	})
-}
-
 // reasonStaleRun is the reason for rejecting a run whose number isn't higher than that of a run of the same task that
 // ran or was stopped on the executor.
 const reasonStaleRun = "old"
@@ -184,11 +99,13 @@
 			return false
 		}
 		stopCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := c.config.Executor.Stop(stopCtx, cell.TaskStop{
-			Executor: current.executor.GetId(),
-			Task:     key.task,
-			Run:      key.run,
-			Fence:    fence,
+		_, err := repeatUntilAnswered(stopCtx, c, repeatDelay, func(ctx context.Context, _ int) (struct{}, error) {
+			return struct{}{}, c.config.Executor.Stop(ctx, cell.TaskStop{
+				Executor: current.executor.GetId(),
+				Task:     key.task,
+				Run:      key.run,
+				Fence:    fence,
+			})
 		})
 		cancel()
 		rejected := &cell.OrderRejectedError{}
