dispatch: count a gang's progress from when it is complete

Cause: a run may show no progress for 2 s and a twentieth of its run time. For a member of a gang that counted from when it was first listed, while it does nothing before the last member is present. Members that wait were spared, but once the last one was listed, the others had been without progress for too long at that moment: the gang was stopped as soon as it could work, and one of its executors was quarantined. The platform gives a gang 3 s to 5 s to be complete.

Change: while a gang isn't complete, the progress of its members counts from now on. Their run time does as well, so that waiting no longer counts as work in estimates and in the cost of a preemption.

--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -257,3 +257,14 @@
 		r.checkpointedAt = now.BootTime
 	}
 }
+
+// restartProgress counts a run that has made no progress yet from now on, when its executor's clock shows clock. A
+// member of a gang makes none before the last one is present, which may take longer than a run may show none.
+func (r *taskRun) restartProgress(clock time.Duration, now Instant) {
+	if r.percent > r.basePercent {
+		return
+	}
+	r.startedAt = now.BootTime
+	r.startedClock = clock
+	r.progressedClock = clock
+}
--- a/dispatch/runhealth.go
+++ b/dispatch/runhealth.go
@@ -52,6 +52,10 @@
 
 func (p *Planner) checkProgress(snap *cellSnapshot, c *candidate, run *taskRun, now Instant) {
 	g := run.task.group
+	if isIncomplete(g) {
+		run.restartProgress(c.clock(), now)
+		return
+	}
 	expected := p.estimates.forGroup(g)
 	stallTimeout := baseStallTimeout + time.Duration(stallTimeoutShare*float64(expected))
 	if stalled := c.clock() - run.progressedClock; !waitsForGang(run) && stalled > stallTimeout &&
@@ -113,18 +117,12 @@
 // or, if its own part is finished, to end.
 func waitsForGang(run *taskRun) bool {
 	g := run.task.group
-	if !g.step.GetGang() {
-		return false
-	}
-	if run.percent >= completePercent {
-		return true
-	}
-	for _, t := range g.tasks {
-		if t.run == nil || !t.run.running {
-			return true
-		}
-	}
-	return false
+	return isIncomplete(g) || (g.step.GetGang() && run.percent >= completePercent)
+}
+
+// isIncomplete reports whether a group is a gang of which some members aren't running. The others do no work then.
+func isIncomplete(g *group) bool {
+	return g.step.GetGang() && slices.ContainsFunc(g.tasks, func(t *task) bool { return t.run == nil || !t.run.running })
 }
 
 // checkDraining stops a run that writes checkpoints if its draining executor may terminate before the run ends. Stopped
