agent: an executor that leaves when it said it would is gone

Cause: an executor counted as gone only after it had sent its notice, DELETE, and nothing listened at its address any more. One that is taken away at short notice sends none: it says that it drains and how much time is left, and ends.

Change: it also counts as gone if nothing listens, or another executor answers, once the time is over that it said to have left. A lost answer proves nothing, as before, nor does a refused connection before that time or without a drain.

Evidence: TestExecutorThatLeavesOnTimeIsGone fails in three cases without the change.

--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -48,7 +48,9 @@
 	unansweredAt time.Duration
 	// shutdownAt is when the executor announced its end; 0 if it didn't, or has answered a later hold.
 	shutdownAt time.Duration
-	inventory  cell.Inventory
+	// leavesAt is when the time that the draining executor said to have left is over; 0 if it said none.
+	leavesAt  time.Duration
+	inventory cell.Inventory
 	// generation is that of the fences for requests to this incarnation.
 	generation int64
 	// firstReport is the sequence number of the first report that named this incarnation; 0 if none did.
@@ -79,7 +81,7 @@
 }
 
 func newIncarnation(heartbeat cell.Heartbeat, generation int64, now time.Duration) *incarnation {
-	return &incarnation{
+	i := &incarnation{
 		executor:    proto.CloneOf(heartbeat.Executor),
 		sequence:    heartbeat.Sequence,
 		heartbeatAt: now,
@@ -95,6 +97,8 @@
 		stopped:          map[run]time.Duration{},
 		rejectionReasons: map[run]string{},
 	}
+	i.leavesAt = i.endOfDrain(heartbeat.Executor)
+	return i
 }
 
 // acceptHeartbeat reports whether a heartbeat of this incarnation counts, and records it. A late one doesn't, nor one
@@ -109,9 +113,22 @@
 	}
 	i.sequence = heartbeat.Sequence
 	i.heartbeatAt = now
+	i.leavesAt = i.endOfDrain(heartbeat.Executor)
 	return true
 }
 
+// endOfDrain returns when the time is over that a draining executor says to have left in its newest heartbeat. Once it
+// says none, what it said before holds.
+func (i *incarnation) endOfDrain(executor *cellpb.Executor) time.Duration {
+	switch {
+	case !executor.GetDraining():
+		return 0
+	case executor.GetLeftMs() > 0:
+		return i.heartbeatAt + time.Duration(executor.GetLeftMs())*time.Millisecond
+	}
+	return i.leavesAt
+}
+
 // beginOrder reports whether an order must be executed now, and marks it as in progress if so.
 func (i *incarnation) beginOrder(key run, isStart bool) bool {
 	if !isStart {
@@ -140,9 +157,11 @@
 }
 
 // confirmShutdown records that a hold requested at requestedAt found the executor ended, and reports whether it is
-// gone: it announced its end before that hold.
+// gone: it announced its end before that hold, or the time was over that it said to have left.
 func (i *incarnation) confirmShutdown(requestedAt time.Duration) bool {
-	if i.shutdownAt == 0 || requestedAt <= i.shutdownAt {
+	announced := i.shutdownAt != 0 && requestedAt > i.shutdownAt
+	expected := i.leavesAt != 0 && requestedAt >= i.leavesAt
+	if !announced && !expected {
 		return false
 	}
 	i.executor.Gone = true
--- a/agent/shutdown_test.go
+++ b/agent/shutdown_test.go
@@ -78,3 +78,60 @@
 		})
 	}
 }
+
+// TestExecutorThatLeavesOnTimeIsGone guards against runs that are given up only with their leases, seconds after their
+// executor was taken away at short notice: it says how long it stays, and ends without another notice. A gang waits all
+// that time for one member (atem-radish-large, SHORT).
+func TestExecutorThatLeavesOnTimeIsGone(t *testing.T) {
+	const drainsAt, left = time.Minute, 2 * time.Second
+	tests := []struct {
+		name string
+		left time.Duration
+		// remains is set if the executor says later that it stays, lingers if it says that no time is left.
+		remains bool
+		lingers bool
+		holdAt  time.Duration
+		err     error
+		gone    bool
+	}{
+		{name: "nothing listens any more", left: left, holdAt: drainsAt + left, err: cell.ErrNotListening, gone: true},
+		{name: "another executor answers", left: left, holdAt: drainsAt + left, err: cell.ErrOtherIncarnation, gone: true},
+		{name: "it lingered", left: left, lingers: true, holdAt: drainsAt + 2*left, err: cell.ErrNotListening, gone: true},
+		{name: "too early", left: left, holdAt: drainsAt + left - 1, err: cell.ErrNotListening},
+		{name: "an answer is lost", left: left, holdAt: drainsAt + left, err: cell.ErrOutcomeUnknown},
+		{name: "it said no time", holdAt: drainsAt + left, err: cell.ErrNotListening},
+		{name: "it stays", left: left, remains: true, holdAt: drainsAt + 2*left, err: cell.ErrNotListening},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := drainsAt
+			c := New(Config{
+				Logger:   hclog.NewNullLogger(),
+				BootTime: boottime.Clock{Now: func() time.Duration { return now }},
+			})
+			heartbeat := cell.Heartbeat{
+				Executor: &cellpb.Executor{
+					Id:       "i-1",
+					Born:     1,
+					Draining: true,
+					LeftMs:   test.left.Milliseconds(),
+				},
+				Sequence: 1,
+			}
+			c.HandleHeartbeat(heartbeat)
+			switchIncarnation(c)
+			c.incarnation.inventory.Running = []*cellpb.RunningTask{{Task: "a.0.0.0", Run: 1}}
+			if test.remains || test.lingers {
+				now += left
+				heartbeat.Sequence++
+				heartbeat.Executor.Draining, heartbeat.Executor.LeftMs = test.lingers, 0
+				c.HandleHeartbeat(heartbeat)
+			}
+			now = test.holdAt
+			c.recordHoldFailure(c.incarnation, now, 1, test.err)
+			report, _ := c.report(false)
+			require.Equal(t, test.gone, report.GetExecutor().GetGone())
+			require.Equal(t, test.gone, len(report.GetRunning()) == 0)
+		})
+	}
+}
