dispatch: after a takeover, count the work that runs have done

Cause: a new scheduler counted the runs that it found from its own start, and those that weren't listed yet as no work at all. Each was as cheap to preempt as one that had just started, and only the agents that had reported were candidates.

Change: what a restored run had done when it is first listed is estimated from its progress; the other members of a gang have done as much. It counts in the cost of a preemption, in the lines, and in when the run is expected to end. Runs that write checkpoints lose only what came after the last one, as before.

Evidence: TestTakeoverKnowsWhatRunsHaveDone and TestTakeoverKnowsWhatGangsHaveDone fail without the change: the run that had 2 s of 10 s left was stopped, not the one beside it that had just started.

Which agents have reported is as before: guaranteed work still preempts where the new scheduler sees it, which may not be where the least is lost.

--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -25,7 +25,7 @@
 	elapsed := now.BootTime - run.startedAt
 	progressed := run.percent - run.basePercent
 	if !run.running || progressed <= 0 {
-		expected := p.estimates.forGroup(run.task.group)
+		expected := p.estimates.forGroup(run.task.group) - run.earlierRunTime
 		if elapsed > expected {
 			// A run without progress that exceeds its estimate is not expected to end soon.
 			return elapsed
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -88,8 +88,10 @@
 	// lists.
 	startedClock    time.Duration
 	progressedClock time.Duration
-	// basePercent is the progress from which the run resumed.
+	// basePercent is the progress from which the run resumed, or at which this scheduler first saw it.
 	basePercent int32
+	// earlierRunTime is the estimated run time of a restored run before this scheduler first saw it listed.
+	earlierRunTime time.Duration
 	// checkpointedAt is when the run last wrote a checkpoint.
 	checkpointedAt time.Duration
 }
--- a/dispatch/preemption_test.go
+++ b/dispatch/preemption_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
@@ -210,3 +211,73 @@
 	require.Len(t, stops, 1)
 	require.Equal(t, "a000000000000001.0.0.0", stops[0].GetTask())
 }
+
+// TestTakeoverKnowsWhatRunsHaveDone guards against work that is thrown away after a takeover: counted from the new
+// scheduler's start, runs that are almost done cost as little to preempt as those that have just started.
+func TestTakeoverKnowsWhatRunsHaveDone(t *testing.T) {
+	const older, newer = "a000000000000001", "b000000000000001"
+	h := newHarness(t)
+	for agent, id := range map[string]string{"agent-1": older, "agent-2": newer} {
+		job := singleTaskJob(id, "renders", "schools", 8)
+		job.AcceptedMs = h.now.WallMs
+		job.Occurrences = 1
+		job.Steps[0].EstimateMs = 10_000
+		h.planner.SetJob(cell.JobState{
+			Job: job,
+			Progress: &cellpb.Progress{
+				Id:    id,
+				State: cellpb.State_STATE_RUNNING,
+				Begun: true,
+				Tasks: []*cellpb.Task{{
+					Run:      1,
+					Agent:    agent,
+					Executor: "i-" + agent + "/1",
+				}},
+			},
+		}, h.now)
+	}
+	percents := map[string]int32{older: 80, newer: 5}
+	for agent, id := range map[string]string{"agent-1": older, "agent-2": newer} {
+		h.report(agent, "r1", func(report *cellpb.Report) {
+			reportRunning(id + ".0.0.0")(report)
+			report.Running[0].Percent = percents[id]
+		})
+	}
+	h.submit(singleTaskJob("c000000000000001", "quotes", "weddings", 8))
+	h.planAndCommit()
+	require.Empty(t, h.planner.Orders("agent-1", h.now).GetStops(), "its run has 2 s left of 10 s")
+	require.Len(t, h.planner.Orders("agent-2", h.now).GetStops(), 1)
+}
+
+// TestTakeoverKnowsWhatGangsHaveDone guards against a gang that costs little to preempt after a takeover, since most of
+// its members haven't been listed yet.
+func TestTakeoverKnowsWhatGangsHaveDone(t *testing.T) {
+	h := newHarness(t)
+	gang := twoMemberGangJob(testJobID, "renders", "schools", 8)
+	gang.AcceptedMs = h.now.WallMs
+	gang.Occurrences = 1
+	progress := &cellpb.Progress{
+		Id:    testJobID,
+		State: cellpb.State_STATE_RUNNING,
+		Begun: true,
+	}
+	for i, agent := range []string{"agent-1", "agent-2"} {
+		progress.Tasks = append(progress.Tasks, &cellpb.Task{
+			Index:    int32(i),
+			Run:      1,
+			Agent:    agent,
+			Executor: "i-" + agent + "/1",
+		})
+	}
+	h.planner.SetJob(cell.JobState{
+		Job:      gang,
+		Progress: progress,
+	}, h.now)
+	h.report("agent-1", "r1", func(report *cellpb.Report) {
+		reportRunning(testJobID + ".0.0.0")(report)
+		report.Running[0].Percent = 50
+	})
+	listed, unlisted := h.planner.findTask(testJobID+".0.0.0"), h.planner.findTask(testJobID+".0.0.1")
+	require.InDelta(t, 65, lostWork(listed.run, h.now), 0.01, "65 core equivalents for half of 2 s")
+	require.InDelta(t, 65, lostWork(unlisted.run, h.now), 0.01)
+}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -188,6 +188,9 @@
 			p.addOrphan(e, t, running)
 			continue
 		}
+		if t.run.restored && !t.run.running {
+			t.run.restoreRunTime(p.estimates.forGroup(t.group) * time.Duration(running.GetPercent()) / completePercent)
+		}
 		t.run.observe(running, e.clock(), now)
 		if running.GetCheckpoint() != "" {
 			t.checkpoint = running.GetCheckpoint()
@@ -258,6 +261,20 @@
 	}
 }
 
+// restoreRunTime records the run time of a restored run before this scheduler first saw it listed. The other members of
+// a gang have run for as long.
+func (r *taskRun) restoreRunTime(runTime time.Duration) {
+	r.earlierRunTime = runTime
+	if !r.task.group.step.GetGang() {
+		return
+	}
+	for _, member := range r.task.group.tasks {
+		if member.run != nil && member.run.restored && !member.run.running {
+			member.run.earlierRunTime = max(member.run.earlierRunTime, runTime)
+		}
+	}
+}
+
 // restartProgress counts a run that has made no progress yet from now on, when its executor's clock shows clock. A
 // member of a gang makes none before the last one is present, which may take longer than a run may show none.
 func (r *taskRun) restartProgress(clock time.Duration, now Instant) {
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -301,12 +301,12 @@
 // lostWork is the work, in core-seconds, that is lost by stopping a run.
 func lostWork(run *taskRun, now Instant) float64 {
 	step := run.task.group.step
-	lostSince := run.startedAt
+	lostSince := run.startedAt - run.earlierRunTime
 	if step.GetCheckpoints() {
 		lostSince = run.checkpointedAt
 	}
 	if !run.running {
-		lostSince = now.BootTime
+		lostSince = now.BootTime - run.earlierRunTime
 	}
 	return coreEquivalents(step) * max(now.BootTime-lostSince, 0).Seconds()
 }
