agent: draw the first lookup's interval anew after each contact

Cause: after a silence with several lookups the back-off was reset on contact, but the interval that had been drawn last, up to a minute and three quarters, still applied to the next silence. An agent whose entries were all replaced then looked the scheduler up that late.

Change: with the first contact after a lookup, the back-off is reset and an interval is drawn from its beginning.

--- a/agent/lookup.go
+++ b/agent/lookup.go
@@ -44,17 +44,20 @@
 	intervals.MaxInterval = maxLookupInterval
 	intervals.Reset()
 	lookedUpAt, interval := c.config.BootTime.Now(), intervals.NextBackOff()
+	contacted := false
 	for ctx.Err() == nil {
 		contactAt := c.lastContact()
-		if contactAt > lookedUpAt {
+		if contactAt > lookedUpAt && !contacted {
+			contacted = true
 			intervals.Reset()
+			interval = intervals.NextBackOff()
 		}
 		if wait := max(contactAt, lookedUpAt) + interval - c.config.BootTime.Now(); wait > 0 {
 			c.sleep(ctx, nil, wait)
 			continue
 		}
 		c.lookUpScheduler(ctx)
-		lookedUpAt, interval = c.config.BootTime.Now(), intervals.NextBackOff()
+		lookedUpAt, interval, contacted = c.config.BootTime.Now(), intervals.NextBackOff(), false
 	}
 }
 
--- a/agent/lookup_test.go
+++ b/agent/lookup_test.go
@@ -116,6 +116,42 @@
 	})
 }
 
+// TestLookupBacksOffAnewAfterContact guards against an agent that finds its next scheduler only after up to a minute,
+// because an earlier silence was long.
+func TestLookupBacksOffAnewAfterContact(t *testing.T) {
+	const (
+		contactAt  = 10 * time.Minute
+		silentFrom = 11 * time.Minute
+		maxFirst   = time.Duration((1 + lookupSpread) * float64(lookupInterval))
+	)
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		startedAt := clock.Now()
+		first := time.Duration(0)
+		c := lookupAgent(func(context.Context) (string, error) {
+			if elapsed := clock.Since(startedAt); elapsed >= silentFrom && first == 0 {
+				first = elapsed - silentFrom
+			}
+			return "scheduler:1", nil
+		}, func(_ string, reply *cellpb.Reply) error {
+			if elapsed := clock.Since(startedAt); elapsed < contactAt || elapsed >= silentFrom {
+				return errors.New("dial timeout")
+			}
+			<-clock.After(time.Second)
+			reply.Body = &cellpb.Reply_Orders{
+				Orders: &cellpb.Orders{
+					Epoch:     7,
+					Scheduler: "scheduler:1",
+				},
+			}
+			return nil
+		})
+		runFor(t, c, silentFrom+2*time.Minute)
+		require.Positive(t, first)
+		require.LessOrEqual(t, first, maxFirst+time.Second, "a reply is a second late")
+	})
+}
+
 // Guards against an agent that doesn't use the seeds that its settings name by now, and against one that keeps former
 // seeds for ever.
 func TestSetSeedAddresses(t *testing.T) {
