agent: apply orders and delivered rejections of a reply together

The orders of a reply were applied in one critical section and the rejections that its report had delivered were dropped in a later one. Between them, no reply to an earlier report was applied, because of its sequence number, but a start in that state was judged by rejections that were delivered already, and the order of the two sections had to stay as it was. One section needs no such order. No behaviour that a test shows changes; the tests call the same path through applyReply.

--- a/agent/capacity_test.go
+++ b/agent/capacity_test.go
@@ -167,7 +167,7 @@
 		},
 	})
 	reply := func(report *cellpb.Report) {
-		c.applyOrders(t.Context(), report.GetSequence(), &cellpb.Orders{
+		c.applyOrdersOf(t.Context(), report.GetSequence(), &cellpb.Orders{
 			Epoch:    7,
 			Executor: "i-1",
 			Born:     1,
--- a/agent/generation_test.go
+++ b/agent/generation_test.go
@@ -111,7 +111,7 @@
 			executor, sent := &fencedExecutor{born: 1}, cell.TaskStart{}
 			c := newFencedController(executor, &sent)
 			exchange(t, c, executor)
-			c.applyOrders(t.Context(), 1, &cellpb.Orders{
+			c.applyOrdersOf(t.Context(), 1, &cellpb.Orders{
 				Epoch:    7,
 				Executor: "i-1",
 				Born:     1,
@@ -137,7 +137,7 @@
 				orders.Generation = 1
 			}
 			first := sent
-			c.applyOrders(t.Context(), 1, orders)
+			c.applyOrdersOf(t.Context(), 1, orders)
 			report := exchange(t, c, executor)
 			require.Equal(t, int64(7), report.GetEpoch())
 			require.Equal(t, int64(1), report.GetGeneration())
@@ -166,7 +166,7 @@
 			executor, sent := &fencedExecutor{born: 1}, cell.TaskStart{}
 			c := newFencedController(executor, &sent)
 			exchange(t, c, executor)
-			c.applyOrders(t.Context(), 1, &cellpb.Orders{
+			c.applyOrdersOf(t.Context(), 1, &cellpb.Orders{
 				Epoch:      7,
 				Generation: 3,
 				Executor:   "i-1",
@@ -182,7 +182,7 @@
 			c = newFencedController(executor, &sent)
 			first, _ := c.report(false)
 			reply := func() {
-				c.applyOrders(t.Context(), first.GetSequence(), &cellpb.Orders{
+				c.applyOrdersOf(t.Context(), first.GetSequence(), &cellpb.Orders{
 					Epoch:      7,
 					Generation: 3,
 				})
@@ -204,7 +204,7 @@
 			require.NoError(t, holdOnce(t, c, executor, time.Second))
 			require.Error(t, executor.start(t.Context(), late))
 			report, _ := c.report(false)
-			c.applyOrders(t.Context(), report.GetSequence(), &cellpb.Orders{
+			c.applyOrdersOf(t.Context(), report.GetSequence(), &cellpb.Orders{
 				Epoch:      7,
 				Generation: report.GetNewestGeneration(),
 			})
@@ -298,7 +298,7 @@
 			name: "the scheduler requires a higher generation",
 			change: func(c *Controller) {
 				report, _ := c.report(false)
-				c.applyOrders(t.Context(), report.GetSequence(), &cellpb.Orders{
+				c.applyOrdersOf(t.Context(), report.GetSequence(), &cellpb.Orders{
 					Epoch:      7,
 					Generation: 5,
 				})
@@ -320,7 +320,7 @@
 						return cell.Inventory{}, fmt.Errorf("hold: %w", cell.ErrOutcomeUnknown)
 					},
 				})
-				c.applyOrders(ctx, 1, &cellpb.Orders{
+				c.applyOrdersOf(ctx, 1, &cellpb.Orders{
 					Epoch: 7,
 				})
 				done := make(chan struct{})
@@ -384,7 +384,7 @@
 				planner.Report(report, 7, now)
 				orders := planner.Orders(report.GetAgent(), now)
 				orders.Epoch = 7
-				c.applyOrders(t.Context(), report.GetSequence(), orders)
+				c.applyOrdersOf(t.Context(), report.GetSequence(), orders)
 			}
 			c := newFencedController(executor, &sent)
 			deliver(c, exchange(t, c, executor))
@@ -423,7 +423,7 @@
 func TestRequestsAtNextIncarnationCarryItsFence(t *testing.T) {
 	executor, sent := &fencedExecutor{born: 1}, cell.TaskStart{}
 	c := newFencedController(executor, &sent)
-	c.applyOrders(t.Context(), 1, &cellpb.Orders{Epoch: 7})
+	c.applyOrdersOf(t.Context(), 1, &cellpb.Orders{Epoch: 7})
 	exchange(t, c, executor)
 	executor.restart()
 	exchange(t, c, executor)
@@ -431,7 +431,7 @@
 		require.Equal(t, executor.fence, stop.Fence)
 		return nil
 	}
-	c.applyOrders(t.Context(), 2, &cellpb.Orders{
+	c.applyOrdersOf(t.Context(), 2, &cellpb.Orders{
 		Epoch:    7,
 		Executor: "i-1",
 		Born:     2,
@@ -448,7 +448,7 @@
 func TestRejectionIsKeptUntilGenerationIsContacted(t *testing.T) {
 	executor, sent := &fencedExecutor{born: 1}, cell.TaskStart{}
 	c := newFencedController(executor, &sent)
-	c.applyOrders(t.Context(), 1, &cellpb.Orders{Epoch: 7})
+	c.applyOrdersOf(t.Context(), 1, &cellpb.Orders{Epoch: 7})
 	exchange(t, c, executor)
 	c.incarnation.rejectStart(run{task: "a.0.0.0", run: 1}, "room")
 	generation := int64(2)
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -39,9 +39,14 @@
 	}
 }
 
+// applyOrdersOf applies the orders in the reply to the report with the given sequence number.
+func (c *Controller) applyOrdersOf(ctx context.Context, sequence uint64, orders *cellpb.Orders) {
+	c.applyReply(ctx, &cellpb.Report{Sequence: sequence}, nil, orders)
+}
+
 // orderStart orders run 1 of the task a.0.0.0 at the first incarnation.
 func orderStart(ctx context.Context, c *Controller, resent bool) {
-	c.applyOrders(ctx, 1, &cellpb.Orders{
+	c.applyOrdersOf(ctx, 1, &cellpb.Orders{
 		Epoch:    7,
 		Executor: "i-1",
 		Born:     1,
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -10,10 +10,9 @@
 )
 
 // applyOrders starts the execution of the orders in the reply to the report with the given sequence number. It ignores
-// a reply that is older than one already applied: a start in it may have been withdrawn since.
+// a reply that is older than one already applied: a start in it may have been withdrawn since. The caller holds the
+// mutex.
 func (c *Controller) applyOrders(ctx context.Context, sequence uint64, orders *cellpb.Orders) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if sequence < c.lastAnswered {
 		return
 	}
--- a/agent/orders_test.go
+++ b/agent/orders_test.go
@@ -263,8 +263,8 @@
 			return nil
 		},
 	})
-	c.applyOrders(t.Context(), 2, &cellpb.Orders{Epoch: 7, Executor: "i-1", Born: 1})
-	c.applyOrders(t.Context(), 1, &cellpb.Orders{
+	c.applyOrdersOf(t.Context(), 2, &cellpb.Orders{Epoch: 7, Executor: "i-1", Born: 1})
+	c.applyOrdersOf(t.Context(), 1, &cellpb.Orders{
 		Epoch:    7,
 		Executor: "i-1",
 		Born:     1,
@@ -297,7 +297,7 @@
 	c.applyInventory(current, fencing, cell.Inventory{Born: 2}, c.config.BootTime.Now())
 	_, _, ok = c.nextHold()
 	require.False(t, ok)
-	c.applyOrders(t.Context(), 1, &cellpb.Orders{
+	c.applyOrdersOf(t.Context(), 1, &cellpb.Orders{
 		Epoch:    7,
 		Executor: "i-1",
 		Born:     1,
--- a/agent/report.go
+++ b/agent/report.go
@@ -168,15 +168,23 @@
 	if orders.GetEpoch() == 0 {
 		return errNoScheduler
 	}
-	c.applyOrders(ctx, report.GetSequence(), orders)
+	c.applyReply(ctx, report, current, orders)
+	return nil
+}
+
+// applyReply applies the reply to a report, which was about an incarnation; nil if there was none. Orders and
+// rejections are applied together: the reply to an earlier report, which may order a rejected start again, is ignored
+// from the moment on at which the rejection is dropped.
+func (c *Controller) applyReply(
+	ctx context.Context, report *cellpb.Report, current *incarnation, orders *cellpb.Orders,
+) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.contactAt = c.config.BootTime.Now()
+	c.applyOrders(ctx, report.GetSequence(), orders)
 	if current != nil && current.fence.Epoch == orders.GetEpoch() && wasProcessed(report, orders) {
-		// From here on the reply to an earlier report, which may order a rejected start again, is ignored.
 		current.removeDelivered(report)
 	}
-	return nil
 }
 
 // wasProcessed reports whether the scheduler has used the lists in a report, according to its reply.
--- a/agent/report_test.go
+++ b/agent/report_test.go
@@ -45,7 +45,7 @@
 				return nil
 			},
 		})
-		c.applyOrders(t.Context(), 0, &cellpb.Orders{Epoch: 7})
+		c.applyOrdersOf(t.Context(), 0, &cellpb.Orders{Epoch: 7})
 		hold, current, _ := c.nextHold()
 		c.applyInventory(current, hold, cell.Inventory{Born: 1}, c.config.BootTime.Now())
 		older, _ := c.report(false)
@@ -162,7 +162,7 @@
 // Guards against an agent that forgets the newer entries, because a scheduler that was replaced still answers it.
 func TestReplacedSchedulerForgetsNoEntries(t *testing.T) {
 	c := newTestController(ExecutorClient{})
-	c.applyOrders(t.Context(), 1, &cellpb.Orders{
+	c.applyOrdersOf(t.Context(), 1, &cellpb.Orders{
 		Epoch: 8,
 	})
 	c.updateAddresses(&cellpb.Orders{
