agent: wait for orders before the calls that they begin

Orders are waited for first now; no call begins an order.

The executor of TestLostOrdersDelayStartsLittle is guarded by a mutex; go test -race ./agent showed its state shared by copies of requests. Three other tests of the package race in their own state there, on as well (TestOddHeartbeatsKeepExecutorInUse, TestUnansweredCandidateIsAskedAgain, TestAgentFindsSchedulerInStore): left.

--- a/agent/controller.go
+++ b/agent/controller.go
@@ -69,8 +69,9 @@
 	<-holdLoopDone
 	<-reportLoopDone
 	<-lookupLoopDone
-	c.calls.Wait()
+	// Orders begin calls, but no call begins an order.
 	c.orders.Wait()
+	c.calls.Wait()
 	c.finalHold(context.WithoutCancel(ctx))
 	return nil
 }
--- a/agent/start_test.go
+++ b/agent/start_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 
 // forgetfulExecutor leaves the first requests of each kind that come after an order unanswered.
 type forgetfulExecutor struct {
+	mu                    sync.Mutex
 	ordered               bool
 	lostStarts, lostHolds int
 	startedAt             time.Time
@@ -25,36 +27,58 @@
 }
 
 func (e *forgetfulExecutor) hold(ctx context.Context, hold cell.HoldRequest) (cell.Inventory, error) {
-	lost := e.ordered && e.lostHolds > 0
-	if lost {
-		e.lostHolds--
-	}
-	timeout := clockwork.NewRealClock().After(hold.Wait)
-	if lost {
-		timeout = nil
+	answer := clockwork.NewRealClock().After(hold.Wait)
+	if e.losesHold() {
+		answer = nil
 	}
 	select {
 	case <-ctx.Done():
 		return cell.Inventory{}, fmt.Errorf("hold: %w", cell.ErrOutcomeUnknown)
-	case <-timeout:
+	case <-answer:
 	}
 	return cell.Inventory{
 		Born: 1,
 	}, nil
 }
 
+func (e *forgetfulExecutor) losesHold() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.ordered || e.lostHolds == 0 {
+		return false
+	}
+	e.lostHolds--
+	return true
+}
+
 func (e *forgetfulExecutor) start(ctx context.Context, _ cell.TaskStart) error {
-	if e.lostStarts > 0 {
-		e.lostStarts--
+	if e.losesStart() {
 		<-ctx.Done()
 		return fmt.Errorf("start: %w", cell.ErrOutcomeUnknown)
 	}
-	if e.startedAt.IsZero() {
-		e.startedAt = e.clock()
-	}
 	return nil
 }
 
+// losesStart reports whether a start is lost, and records when the first other one came.
+func (e *forgetfulExecutor) losesStart() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lostStarts == 0 {
+		if e.startedAt.IsZero() {
+			e.startedAt = e.clock()
+		}
+		return false
+	}
+	e.lostStarts--
+	return true
+}
+
+func (e *forgetfulExecutor) beginLosing() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ordered = true
+}
+
 // TestLostOrdersDelayStartsLittle guards against work that waits for seconds beside an idle executor that leaves a few
 // orders unanswered (atem-radish-large, SHORT).
 func TestLostOrdersDelayStartsLittle(t *testing.T) {
@@ -82,7 +106,7 @@
 				executor.clock = c.config.Clock.Now
 				stop := startHoldLoop(t, c)
 				<-c.config.Clock.After(idleHoldWait / 10)
-				executor.ordered = true
+				executor.beginLosing()
 				orderedAt := c.config.Clock.Now()
 				orderStart(t.Context(), c, false)
 				c.orders.Wait()
