--- a/pairs/comparison.go
+++ b/pairs/comparison.go
@@ -11,8 +11,9 @@
 
 // comparison collects the outcomes of pairs of plays by measure.
 type comparison struct {
-	base   map[string][]float64
-	head   map[string][]float64
+	base map[string][]float64
+	head map[string][]float64
+	// broken counts the broken rules by version and name.
 	broken map[string]int
 }
 
@@ -27,8 +28,11 @@
 func (c *comparison) add(played pair) {
 	addTo(c.base, played.base)
 	addTo(c.head, played.head)
-	c.broken["base"] += played.base.broken
-	c.broken["head"] += played.head.broken
+	for version, outcome := range map[string]outcome{"base": played.base, "head": played.head} {
+		for rule, count := range outcome.broken {
+			c.broken[version+" "+rule] += count
+		}
+	}
 }
 
 func addTo(measures map[string][]float64, played outcome) {
@@ -57,7 +61,9 @@
 			measure, len(base), mean(base), mean(head), mean(differences), standardError(differences))
 	}
 	_ = table.Flush()
-	_, _ = fmt.Fprintf(output, "kinds of broken rules: base %d, head %d\n", c.broken["base"], c.broken["head"])
+	for _, rule := range slices.Sorted(maps.Keys(c.broken)) {
+		_, _ = fmt.Fprintf(output, "broken: %s %d\n", rule, c.broken[rule])
+	}
 }
 
 func mean(values []float64) float64 {
--- a/pairs/comparison_test.go
+++ b/pairs/comparison_test.go
@@ -25,7 +25,7 @@
 	require.Regexp(t, `day +2 +0\.400 +0\.500 +\+0\.100 +0\.000`, output.String())
 	require.Regexp(t, `served +2 +0\.700 +0\.750 +\+0\.050 +0\.150`, output.String())
 	require.Regexp(t, `kind quote +2 and 0`, output.String())
-	require.Contains(t, output.String(), "base 0, head 1")
+	require.Contains(t, output.String(), "broken: head LOST 1")
 }
 
 func TestDecodeOutcomeRejectsOtherFiles(t *testing.T) {
--- a/pairs/main.go
+++ b/pairs/main.go
@@ -51,6 +51,11 @@
 				return 1
 			}
 			comparison.add(played)
+			for _, details := range []string{played.base.details, played.head.details} {
+				if details != "" {
+					_, _ = fmt.Printf("%s, seed %d: broken rules: %s\n", day, seed, details)
+				}
+			}
 			_, _ = fmt.Printf("%s, seed %d: worth %.3f and %.3f\n", day, seed, played.base.worth, played.head.worth)
 		}
 	}
--- a/pairs/player.go
+++ b/pairs/player.go
@@ -102,14 +102,17 @@
 	worth  float64
 	served float64
 	kinds  map[string]float64
-	broken int
+	// broken counts the broken rules by name, and details is what the bench says of the first ones.
+	broken  map[string]int
+	details string
 }
 
 func decodeOutcome(report []byte) (outcome, error) {
 	content := struct {
-		Worth   float64        `json:"G"`
-		Served  float64        `json:"served"`
-		Broken  map[string]any `json:"breaks"`
+		Worth   float64         `json:"G"`
+		Served  float64         `json:"served"`
+		Broken  map[string]int  `json:"breaks"`
+		Details json.RawMessage `json:"first"`
 		Classes []struct {
 			Name  string  `json:"name"`
 			Worth float64 `json:"worth"`
@@ -122,7 +125,10 @@
 		worth:  content.Worth,
 		served: content.Served,
 		kinds:  map[string]float64{},
-		broken: len(content.Broken),
+		broken: content.Broken,
+	}
+	if len(content.Broken) > 0 {
+		result.details = string(content.Details)
 	}
 	for _, class := range content.Classes {
 		result.kinds[class.Name] = class.Worth
