--- a/agent/holds.go
+++ b/agent/holds.go
@@ -65,10 +65,11 @@
 	return idleHoldWait
 }
 
-// errHoldOutdated ends a pending hold whose fence is lower than that of the next one.
-var errHoldOutdated = errors.New("a hold with a higher fence is due")
+// errHoldOutdated ends a pending hold because the next one is due: one with a higher fence, or one that a start waits
+// for.
+var errHoldOutdated = errors.New("the next hold is due")
 
-// requestHold sends a hold. It returns errHoldOutdated if a higher fence is due before the executor answers.
+// requestHold sends a hold. It returns errHoldOutdated if the next one is due before the executor answers.
 func (c *Controller) requestHold(ctx context.Context, hold cell.HoldRequest) (cell.Inventory, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold.Wait+orderTimeout)
 	defer cancel()
@@ -98,8 +99,7 @@
 	}
 }
 
-// endPendingHold ends the pending hold, so that the next one with a higher fence doesn't wait for its answer. The
-// caller holds the mutex.
+// endPendingHold ends the pending hold, so that the next one doesn't wait for its answer. The caller holds the mutex.
 func (c *Controller) endPendingHold() {
 	if c.endHold != nil {
 		c.endHold(errHoldOutdated)
