--- a/agent/shutdown_test.go
+++ b/agent/shutdown_test.go
@@ -12,6 +12,28 @@
 	"radishpath.example/radishpath/cell/cellpb"
 )
 
+// newRunningController returns a controller whose executor has a run, and the executor's first heartbeat. The time is
+// read from now; left is how long the executor says that it stays, 0 if it says nothing.
+func newRunningController(now *time.Duration, draining bool, left time.Duration) (*Controller, cell.Heartbeat) {
+	c := New(Config{
+		Logger:   hclog.NewNullLogger(),
+		BootTime: boottime.Clock{Now: func() time.Duration { return *now }},
+	})
+	heartbeat := cell.Heartbeat{
+		Executor: &cellpb.Executor{
+			Id:       "i-1",
+			Born:     1,
+			Draining: draining,
+			LeftMs:   left.Milliseconds(),
+		},
+		Sequence: 1,
+	}
+	c.HandleHeartbeat(heartbeat)
+	switchIncarnation(c)
+	c.incarnation.inventory.Running = []*cellpb.RunningTask{{Task: "a.0.0.0", Run: 1}}
+	return c, heartbeat
+}
+
 // The notice that an executor ends names no incarnation and may arrive seconds late, and the executor may still run for
 // a moment. Taken for gone while it runs, its tasks would be ordered elsewhere and run twice at the same time.
 func TestRunsAreReportedUntilExecutorIsGone(t *testing.T) {
@@ -41,21 +63,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			now := noticeAt
-			c := New(Config{
-				Logger:   hclog.NewNullLogger(),
-				BootTime: boottime.Clock{Now: func() time.Duration { return now }},
-			})
-			heartbeat := cell.Heartbeat{
-				Executor: &cellpb.Executor{
-					Id:       "i-1",
-					Born:     1,
-					Draining: test.draining,
-				},
-				Sequence: 1,
-			}
-			c.HandleHeartbeat(heartbeat)
-			switchIncarnation(c)
-			c.incarnation.inventory.Running = []*cellpb.RunningTask{{Task: "a.0.0.0", Run: 1}}
+			c, heartbeat := newRunningController(&now, test.draining, 0)
 			c.HandleHeartbeat(cell.Heartbeat{Executor: &cellpb.Executor{Id: "i-1"}, ShuttingDown: true})
 			if test.earlier {
 				now -= time.Minute / 2
@@ -105,22 +113,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			now := drainsAt
-			c := New(Config{
-				Logger:   hclog.NewNullLogger(),
-				BootTime: boottime.Clock{Now: func() time.Duration { return now }},
-			})
-			heartbeat := cell.Heartbeat{
-				Executor: &cellpb.Executor{
-					Id:       "i-1",
-					Born:     1,
-					Draining: true,
-					LeftMs:   test.left.Milliseconds(),
-				},
-				Sequence: 1,
-			}
-			c.HandleHeartbeat(heartbeat)
-			switchIncarnation(c)
-			c.incarnation.inventory.Running = []*cellpb.RunningTask{{Task: "a.0.0.0", Run: 1}}
+			c, heartbeat := newRunningController(&now, true, test.left)
 			if test.remains || test.lingers {
 				now += left
 				heartbeat.Sequence++
