dispatch: place units by expected completion

Cause: placement does not know that executors differ in speed. Change: the planner learns speeds and work from progress; executors on which a unit ends in time come first, the slower of them before the faster, gangs take executors of one class, and a unit that would be late where it fits waits for faster room if it is then in time. Agents return the speeds to the next scheduler. Among equal executors placements stay as they were. Expected ends, slack, objectives and the detection of slow executors use the same model; its samples replace the moving average of each queue.

The test of first completions now completes three jobs early instead of three tasks of one, since a job counts once.

--- a/agent/controller.go
+++ b/agent/controller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"radishpath.example/radishpath/cell"
+	"radishpath.example/radishpath/cell/cellpb"
 )
 
 // Controller extends the leases of one executor, carries out the scheduler's orders there and reports the executor's
@@ -26,6 +27,8 @@
 	seedAddresses  []string
 	entryAddresses []string
 	agentAddresses []string
+	// speed is what the newest orders said of the machine's speed; nil if none did.
+	speed *cellpb.Speed
 	// contactAt is when a scheduler last replied to a report; 0 if none has.
 	contactAt    time.Duration
 	lastSequence uint64
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -25,6 +25,9 @@
 		c.epoch = orders.GetEpoch()
 		notify(c.holdSignal)
 	}
+	if orders.GetSpeed() != nil {
+		c.speed = orders.GetSpeed()
+	}
 	c.raiseRequired(sequence, orders.GetGeneration())
 	current := c.incarnation
 	if current == nil || current.replaced || orders.GetExecutor() != current.executor.GetId() ||
--- a/agent/report.go
+++ b/agent/report.go
@@ -111,6 +111,7 @@
 		Process:  c.config.Process,
 		Sequence: c.lastSequence,
 		NoWait:   noWait,
+		Speed:    c.speed,
 	}
 	if c.incarnation != nil {
 		if c.incarnation.firstReport == 0 {
--- a/dispatch/executor.go
+++ b/dispatch/executor.go
@@ -55,6 +55,8 @@
 	// orphans holds the stop orders for runs that the executor reports but the planner doesn't expect there.
 	orphans map[string]*cellpb.Stop
 	health  health
+	// slowdown is the one that was last logged; 0 if none was.
+	slowdown float64
 	// slowUntil is the time until which the executor counts as slow.
 	slowUntil time.Duration
 	// ordersVersion changes whenever the orders for the agent change.
@@ -115,6 +117,15 @@
 	return labels[len(labels)-1]
 }
 
+// kind returns the name of the executor's kind, which is its first label.
+func (e *executor) kind() string {
+	labels := e.state.GetLabels()
+	if len(labels) == 0 {
+		return ""
+	}
+	return labels[0]
+}
+
 func (e *executor) capacity() cell.Capacity {
 	return cell.CapacityOf(e.state)
 }
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -25,7 +25,7 @@
 	elapsed := now.BootTime - run.startedAt
 	progressed := run.percent - run.basePercent
 	if !run.running || progressed <= 0 {
-		expected := p.estimates.forGroup(run.task.group) - run.earlierRunTime
+		expected := p.runTime(run) - run.earlierRunTime
 		if elapsed > expected {
 			// A run without progress that exceeds its estimate is not expected to end soon.
 			return elapsed
@@ -58,17 +58,24 @@
 	return packAfter(needed + 1), ends[needed].timeLeft
 }
 
-// earliestFit returns where and when the unit is expected to fit first among the candidate sets, or nil if it fits in
-// none.
+// earliestFit returns where and when the unit is expected to fit among the candidate sets so that it ends first, or nil
+// if it fits in none.
 func (p *Planner) earliestFit(
 	snap *cellSnapshot, u *schedulingUnit, candidateSets [][]*candidate, now Instant,
 ) (assignment, time.Duration) {
 	var best assignment
-	var earliestFit time.Duration
+	var earliestFit, earliestEnd time.Duration
 	for _, candidates := range candidateSets {
 		chosen, delay := p.expectedFit(snap, u, candidates, now)
-		if chosen != nil && (best == nil || delay < earliestFit) {
-			best, earliestFit = chosen, delay
+		if chosen == nil {
+			continue
+		}
+		end := delay
+		if snap.uneven {
+			end += p.duration(u, chosen)
+		}
+		if best == nil || end < earliestEnd {
+			best, earliestFit, earliestEnd = chosen, delay, end
 		}
 	}
 	return best, earliestFit
@@ -141,7 +148,7 @@
 		p.reserveExpectedRelease(snap, u, racks, now)
 		return true
 	}
-	chosen, delay := p.earliestFit(snap, u, p.placementOptions(racks, u), now)
+	chosen, delay := p.earliestFit(snap, u, p.bySpeed(snap, u, p.placementOptions(racks, u)), now)
 	if chosen == nil || delay >= u.minSlack/2 || (u.guaranteed && u.waitTime+delay >= p.config.maxWait()) {
 		return false
 	}
@@ -159,7 +166,7 @@
 		return
 	}
 	snap.reservations++
-	candidateSets := p.candidateSets(snap, u, p.placementOptions(racks, u), now)
+	candidateSets := p.bySpeed(snap, u, p.candidateSets(snap, u, p.placementOptions(racks, u), now))
 	if chosen, _ := p.earliestFit(snap, u, candidateSets, now); chosen != nil {
 		chosen.reserve(requestedResources(u.group.step))
 	}
--- a/dispatch/headroom.go
+++ b/dispatch/headroom.go
@@ -81,8 +81,9 @@
 	return u.overdue || (u.priority > 0 && u.slack > time.Duration(minDeferSlackShare*float64(objective)))
 }
 
-// markHeadroom marks the executors of a service that are kept free: those with the most free accelerators, until the
-// target is reached. Whole executors are kept that way, which members of large gangs need.
+// markHeadroom marks the executors of a service that are kept free: the fastest, and of those the ones with the
+// most free accelerators, until the target is reached. Whole executors are kept that way, which members of large gangs
+// need.
 func (p *Planner) markHeadroom(snap *cellSnapshot, service string, now Instant) {
 	if snap.headroomMarked[service] {
 		return
@@ -102,7 +103,11 @@
 	}
 	target := min(p.headroom.target(service, now.BootTime), int64(maxHeadroomShare*float64(total)))
 	slices.SortFunc(candidates, func(x, y *candidate) int {
-		return cmp.Or(cmp.Compare(y.free.Accelerators, x.free.Accelerators), cmp.Compare(x.agent, y.agent))
+		return cmp.Or(
+			cmp.Compare(x.slowdown, y.slowdown),
+			cmp.Compare(y.free.Accelerators, x.free.Accelerators),
+			cmp.Compare(x.agent, y.agent),
+		)
 	})
 	for _, c := range candidates {
 		if target <= 0 {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -26,6 +26,8 @@
 	// firstSeen is when the scheduler learned of the job.
 	firstSeen time.Duration
 	history   jobHistory
+	// knownWork holds the work of the steps that have been seen to run, by step.
+	knownWork map[int32]time.Duration
 }
 
 // group holds the tasks of one step of one occurrence.
@@ -64,6 +66,9 @@
 	// retryAt delays the task after a failed run.
 	retryAt time.Duration
 	crashes crashHistory
+	// runTime is how long the newest run of which that is known takes, at runTimeAgent; 0 if none is known.
+	runTime      time.Duration
+	runTimeAgent string
 	// isolatedUntil ends the wait of a suspect task for an executor of its own; 0 if it hasn't begun.
 	isolatedUntil time.Duration
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -20,6 +20,7 @@
 		Executor:   e.state.GetId(),
 		Born:       e.state.GetBorn(),
 		Recorded:   e.lastStoredEnd,
+		Speed:      p.speedOf(agent),
 		GrantMs:    e.state.GetSteadyMs() + p.config.LeaseDuration.Milliseconds(),
 	}
 	for _, stop := range e.orphans {
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -49,7 +49,7 @@
 	if t.group.step.GetPersistent() {
 		return
 	}
-	p.estimates.addSample(t.group, run, now)
+	p.noteCompletion(run, now)
 	t.done = true
 	if t.group.step.GetGang() {
 		for _, member := range t.group.tasks {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -35,6 +35,7 @@
 	p.replan = false
 	p.lastPlannedAt = now.BootTime
 	p.openDueOccurrences(now)
+	p.learnRunTimes(now)
 	snap := p.newSnapshot(now)
 	for _, u := range p.units(snap.demand, now) {
 		p.placeUnit(snap, u, now)
@@ -59,7 +60,9 @@
 	p.startIsolation(u, now)
 	racks := p.racks(snap, u.group)
 	if chosen := p.placeNow(snap, u, racks, now); chosen != nil {
-		p.assign(u, chosen, now)
+		if !p.waitsForSpeed(snap, u, racks, chosen, now) {
+			p.assign(u, chosen, now)
+		}
 		return
 	}
 	if u.waitsForIsolation(now) {
@@ -74,7 +77,7 @@
 		snap.preemptingUnits++
 	}
 	if !p.waitForRelease(snap, u, racks, now) {
-		p.preempt(snap, u, racks, now)
+		p.preempt(snap, u, p.bySpeed(snap, u, p.placementOptions(racks, u)), p.maxPreemptionCost(u), now)
 	}
 }
 
@@ -88,6 +91,7 @@
 	}
 	options := p.placementOptions(racks, u)
 	candidateSets := p.candidateSets(snap, u, options, now)
+	candidateSets = append(p.uniformOptions(snap, u, candidateSets), p.bySpeed(snap, u, candidateSets)...)
 	for _, candidates := range append(snap.withoutRecentFailures(u, candidateSets), candidateSets...) {
 		if chosen := p.pack(snap, u, candidates, freeNow); chosen != nil {
 			return chosen
@@ -115,7 +119,7 @@
 func (p *Planner) placementOptions(racked rackedCandidates, u *schedulingUnit) [][]*candidate {
 	step := u.group.step
 	racks, all := racked.racks, racked.all
-	maxWait := p.estimates.forGroup(u.group)
+	maxWait := p.work(u.group)
 	if u.guaranteed {
 		maxWait = p.config.maxWait()
 	}
@@ -154,7 +158,7 @@
 	tasksByAgent := snap.countTasksByAgent(u.group)
 	chosen := make(assignment, 0, len(u.tasks))
 	for _, t := range u.tasks {
-		best := snap.bestCandidate(candidates, request, t, tasksByAgent)
+		best := snap.bestCandidate(candidates, request, u, t, tasksByAgent)
 		if best == nil {
 			return nil
 		}
@@ -172,7 +176,7 @@
 }
 
 func (snap *cellSnapshot) bestCandidate(
-	candidates []*candidate, request cell.Capacity, t *task, tasksByAgent map[string]int,
+	candidates []*candidate, request cell.Capacity, u *schedulingUnit, t *task, tasksByAgent map[string]int,
 ) *candidate {
 	var best *candidate
 	for _, c := range candidates {
@@ -180,7 +184,7 @@
 			!snap.allowsTask(c, t, tasksByAgent) {
 			continue
 		}
-		if best == nil || compareCandidates(c, best, t) < 0 {
+		if best == nil || compareCandidates(c, best, u, t) < 0 {
 			best = c
 		}
 	}
@@ -188,8 +192,9 @@
 }
 
 // compareCandidates prefers a candidate other than the one where the task last failed, then one other than those that
-// crashed under it, then one with fewer failed tasks and then the tightest fit.
-func compareCandidates(x, y *candidate, t *task) int {
+// crashed under it, then one with fewer failed tasks, then one that is fast enough and no faster, and then the tightest
+// fit.
+func compareCandidates(x, y *candidate, u *schedulingUnit, t *task) int {
 	if order := -compareTrueFirst(x.agent == t.lastFailedAgent, y.agent == t.lastFailedAgent); order != 0 {
 		return order
 	}
@@ -199,6 +204,9 @@
 	if order := cmp.Compare(len(x.health.failedTasks), len(y.health.failedTasks)); order != 0 {
 		return order
 	}
+	if order := u.compareSpeeds(x, y); order != 0 {
+		return order
+	}
 	if order := cmp.Compare(x.available.Accelerators, y.available.Accelerators); order != 0 {
 		return order
 	}
--- a/dispatch/planner.go
+++ b/dispatch/planner.go
@@ -7,6 +7,7 @@
 
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/runtimes"
 )
 
 // Planner holds the jobs and executors of a cell and makes the scheduling decisions. It isn't safe for concurrent use.
@@ -15,13 +16,16 @@
 	operations cell.Operations
 	jobs       map[string]*job
 	executors  map[string]*executor
-	estimates  estimates
+	runTimes   *runtimes.Model
 	headroom   headroom
 	// batch is the number of the batch that collects new decisions, committedBatch that of the last stored one.
 	batch          int64
 	committedBatch int64
 	// runsByAgent holds the runs that may still exist, by agent.
 	runsByAgent map[string]map[*taskRun]bool
+	// progressedGroups holds the groups to learn run times from, which last happened at learnedAt.
+	progressedGroups map[*group]bool
+	learnedAt        time.Duration
 	// replan is set when a change may allow pending work to be placed.
 	replan bool
 	// lastPlannedAt is when the last planning pass began.
@@ -44,14 +48,15 @@
 // New returns an empty planner for a scheduler that takes over at now.
 func New(config Config, now Instant) *Planner {
 	return &Planner{
-		config:      config.withDefaults(),
-		jobs:        map[string]*job{},
-		executors:   map[string]*executor{},
-		runsByAgent: map[string]map[*taskRun]bool{},
-		estimates:   newEstimates(),
-		headroom:    newHeadroom(),
-		batch:       1,
-		tookOverAt:  now.BootTime,
+		config:           config.withDefaults(),
+		jobs:             map[string]*job{},
+		executors:        map[string]*executor{},
+		runsByAgent:      map[string]map[*taskRun]bool{},
+		runTimes:         runtimes.New(),
+		headroom:         newHeadroom(),
+		progressedGroups: map[*group]bool{},
+		batch:            1,
+		tookOverAt:       now.BootTime,
 	}
 }
 
--- a/dispatch/planner_test.go
+++ b/dispatch/planner_test.go
@@ -9,6 +9,7 @@
 
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/runtimes"
 )
 
 const testEpoch = 7
@@ -68,6 +69,21 @@
 	}
 }
 
+// setWork makes the planner know what the steps of a queue take.
+func (h *plannerHarness) setWork(queue string, work time.Duration) {
+	for i := range 8 {
+		h.planner.runTimes.Observe(runtimes.Step{
+			ID:    fmt.Sprint(i),
+			Queue: queue,
+		}, []runtimes.Run{
+			{
+				Machine:  "other",
+				Duration: work,
+			},
+		})
+	}
+}
+
 func (h *plannerHarness) advance(d time.Duration) {
 	h.now.BootTime += d
 	h.now.WallMs += d.Milliseconds()
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -36,9 +37,13 @@
 // long-running work fills the cell: guaranteed work starts within its time limit at any cost, other urgent work only if
 // little work is lost. The released resources are reserved for the unit in this and all later passes until the
 // preempted runs have ended.
-func (p *Planner) preempt(snap *cellSnapshot, u *schedulingUnit, racks rackedCandidates, now Instant) {
+//
+// The cost is at most maxCost. It reports whether work was preempted, or room that is being released was reserved.
+func (p *Planner) preempt(
+	snap *cellSnapshot, u *schedulingUnit, options [][]*candidate, maxCost float64, now Instant,
+) bool {
 	var best *preemptionPlan
-	for _, candidates := range p.placementOptions(racks, u) {
+	for _, candidates := range options {
 		plan := p.planPreemption(snap, u, candidates, now)
 		if plan == nil {
 			continue
@@ -48,8 +53,8 @@
 			best = plan
 		}
 	}
-	if best == nil || (!u.guaranteed && best.cost > maxPreemptionCostShare*p.expectedWork(u)) {
-		return
+	if best == nil || best.cost > maxCost {
+		return false
 	}
 	best.chosen.reserve(requestedResources(u.group.step))
 	for _, run := range best.preemptions {
@@ -58,6 +63,15 @@
 		run.task.group.preemptions++
 		p.stopRun(run, reasonPreempted, now)
 	}
+	return true
+}
+
+// maxPreemptionCost is the most that preempting for a unit may cost. Guaranteed work starts at any cost.
+func (p *Planner) maxPreemptionCost(u *schedulingUnit) float64 {
+	if u.guaranteed {
+		return math.Inf(1)
+	}
+	return maxPreemptionCostShare * p.expectedWork(u)
 }
 
 // planPreemption chooses, task by task, the candidate with the cheapest preemptions.
@@ -202,5 +216,5 @@
 
 // expectedWork is the expected work of a unit in core-seconds.
 func (p *Planner) expectedWork(u *schedulingUnit) float64 {
-	return float64(len(u.tasks)) * coreEquivalents(u.group.step) * p.estimates.forGroup(u.group).Seconds()
+	return float64(len(u.tasks)) * coreEquivalents(u.group.step) * p.work(u.group).Seconds()
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -26,6 +26,9 @@
 		// one meant for an earlier incarnation, may still take effect there.
 		return true
 	}
+	if !e.epochConfirmed {
+		p.inheritSpeed(e.agent, report.GetSpeed())
+	}
 	if !e.epochConfirmed || now.BootTime-e.reportedAt > p.config.ReportTimeout {
 		p.replan = true
 	}
@@ -70,6 +73,7 @@
 		p.config.Log("executor capacity changed", "agent", e.agent, "executor", incarnation,
 			"before", before.String(), "after", after.String())
 	}
+	previousKind := e.kind()
 	e.state = report.GetExecutor()
 	if !isNew {
 		e.largest = e.largest.Max(e.capacity())
@@ -77,6 +81,9 @@
 		return
 	}
 	e.largest = e.capacity()
+	if e.incarnation != "" {
+		p.inheritFromIncarnation(e, previousKind)
+	}
 	e.incarnation = incarnation
 	e.unstoredEnds = nil
 	e.lastEnd = 0
@@ -189,9 +196,11 @@
 			continue
 		}
 		if t.run.restored && !t.run.running {
-			t.run.restoreRunTime(p.estimates.forGroup(t.group) * time.Duration(running.GetPercent()) / completePercent)
+			t.run.restoreRunTime(p.runTime(t.run) * time.Duration(running.GetPercent()) / completePercent)
+		}
+		if t.run.observe(running, e.clock(), now) {
+			p.progressedGroups[t.group] = true
 		}
-		t.run.observe(running, e.clock(), now)
 		if running.GetCheckpoint() != "" {
 			t.checkpoint = running.GetCheckpoint()
 		}
@@ -240,8 +249,9 @@
 	}
 }
 
-// observe applies what an executor listed about a run when its clock showed clock.
-func (r *taskRun) observe(running *cellpb.RunningTask, clock time.Duration, now Instant) {
+// observe applies what an executor listed about a run when its clock showed clock, and reports whether the run has
+// progressed.
+func (r *taskRun) observe(running *cellpb.RunningTask, clock time.Duration, now Instant) bool {
 	r.sent = true
 	if !r.running {
 		r.running = true
@@ -252,13 +262,15 @@
 		r.percent = running.GetPercent()
 		r.basePercent = running.GetPercent()
 	}
-	if running.GetPercent() != r.percent {
+	progressed := running.GetPercent() != r.percent
+	if progressed {
 		r.percent = running.GetPercent()
 		r.progressedClock = clock
 	}
 	if running.GetCheckpoint() != "" && running.GetCheckpoint() != r.task.checkpoint {
 		r.checkpointedAt = now.BootTime
 	}
+	return progressed
 }
 
 // restoreRunTime records the run time of a restored run before this scheduler first saw it listed. The other members of
--- a/dispatch/runhealth.go
+++ b/dispatch/runhealth.go
@@ -56,7 +56,7 @@
 		run.restartProgress(c.clock(), now)
 		return
 	}
-	expected := p.estimates.forGroup(g)
+	expected := p.typicalRunTime(run)
 	stallTimeout := baseStallTimeout + time.Duration(stallTimeoutShare*float64(expected))
 	if stalled := c.clock() - run.progressedClock; !waitsForGang(run) && stalled > stallTimeout &&
 		now.BootTime-c.reportedAt < p.config.ReportTimeout {
@@ -69,7 +69,7 @@
 		return
 	}
 	total, ok := run.projectedTotal()
-	if !ok || !p.estimates.isMeasured(g) {
+	if !ok || !p.runTimes.HasWork(g.job.spec.GetQueue()) {
 		return
 	}
 	expected = max(expected, p.typicalTotal(snap, run))
@@ -153,7 +153,7 @@
 				t.group.step.GetPersistent() {
 				continue
 			}
-			if p.remaining(run, now) < minMigrationGain*p.estimates.forGroup(t.group) {
+			if p.remaining(run, now) < minMigrationGain*p.typicalRunTime(run) {
 				continue
 			}
 			if chosen := p.migrationTarget(snap, t, now); chosen != nil {
--- a/dispatch/runhealth_test.go
+++ b/dispatch/runhealth_test.go
@@ -110,7 +110,7 @@
 	h.report("agent-1", "r1", nil)
 	h.submit(singleTaskJob("a000000000000001", "renders", "schools", 1))
 	h.planAndCommit()
-	h.planner.estimates.byQueue["renders"] = &estimate{mean: time.Second, samples: minRunTimeSamples}
+	h.setWork("renders", time.Second)
 	task := h.planner.findTask("a000000000000001.0.0.0")
 	for percent := range int32(4) {
 		h.report("agent-1", "r1", func(report *cellpb.Report) {
@@ -284,24 +284,27 @@
 // are the shortest of their queue, so their mean is far below the run times of the rest. In an incident, 43 runs were
 // moved for that.
 func TestFirstCompletionsDontMakeOthersSlow(t *testing.T) {
-	const tasks = 8
+	const (
+		tasks = 8
+		// early is the number of jobs that complete early, from which run times are estimated.
+		early = 3
+	)
 	h := newHarness(t)
 	for i := range tasks {
 		h.report(fmt.Sprintf("agent-%d", i), "r1", nil)
+		job := singleTaskJob(fmt.Sprintf("a%015d", i), "checks", "schools", 8)
+		job.Steps[0].EstimateMs = 10000
+		h.submit(job)
 	}
-	job := singleTaskJob(testJobID, "checks", "schools", 8)
-	job.Steps[0].Count = tasks
-	job.Steps[0].EstimateMs = 10000
-	h.submit(job)
 	h.planAndCommit()
 	for second := range int32(6) {
 		for i := range int32(tasks) {
-			run := h.planner.findTask(fmt.Sprintf("%s.0.0.%d", testJobID, i)).run
+			run := h.planner.findTask(fmt.Sprintf("a%015d.0.0.0", i)).run
 			if run == nil {
 				continue
 			}
 			h.report(run.agent, "r1", func(report *cellpb.Report) {
-				if i < minRunTimeSamples && second == 1 {
+				if i < early && second == 1 {
 					report.Ended = []*cellpb.EndedTask{
 						{Number: 1, Task: run.task.id.String(), Run: 1, Kind: cellpb.EndKind_END_KIND_DONE},
 					}
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -32,6 +32,8 @@
 	slow bool
 	// failedRecently is set if a run failed there recently.
 	failedRecently bool
+	// slowdown is the factor by which tasks run longer there than on an executor of mean speed.
+	slowdown float64
 	// onlyJob is the job of all runs there, nil if there are none; shared is set if there are runs of several jobs.
 	onlyJob *job
 	shared  bool
@@ -76,6 +78,11 @@
 	hasIsolated     bool
 	halfIsolated    bool
 	ignoreIsolation bool
+	// uneven is set if executors differ in speed, slowdowns holds their distinct slowdowns, the largest first, and
+	// speedWaits counts the units for which a wait for faster executors was considered.
+	uneven     bool
+	slowdowns  []float64
+	speedWaits int
 	// headroomMarked holds the services whose headroom was marked in this pass.
 	headroomMarked map[string]bool
 }
@@ -117,11 +124,13 @@
 			executor:    e,
 			free:        e.capacity(),
 			schedulable: p.schedulable(e, now) && (ignoreQuarantine || e.health.schedulable(now.BootTime)),
+			slowdown:    p.runTimes.Slowdown(e.agent),
 		}
 		snap.candidates = append(snap.candidates, c)
 		snap.byIncarnation[e.incarnation] = c
 	}
 	slices.SortFunc(snap.candidates, func(x, y *candidate) int { return strings.Compare(x.agent, y.agent) })
+	snap.noteSpeeds()
 	for _, c := range snap.candidates {
 		p.subtractRuns(c)
 		p.subtractOrphans(c)
@@ -137,6 +146,16 @@
 	return snap
 }
 
+func (snap *cellSnapshot) noteSpeeds() {
+	for _, c := range snap.candidates {
+		if !slices.Contains(snap.slowdowns, c.slowdown) {
+			snap.slowdowns = append(snap.slowdowns, c.slowdown)
+		}
+	}
+	slices.SortFunc(snap.slowdowns, func(x, y float64) int { return cmp.Compare(y, x) })
+	snap.uneven = len(snap.slowdowns) > 1
+}
+
 // subtractRuns subtracts the resources of the runs that may exist on a candidate. Those being stopped still count.
 func (p *Planner) subtractRuns(c *candidate) {
 	c.idle = len(p.runsByAgent[c.agent]) == 0
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -28,6 +28,8 @@
 	minSlack time.Duration
 	// waitTime is the time since the scheduler learned of the job.
 	waitTime time.Duration
+	// speedLimit is the largest slowdown of executors on which the unit ends in time if it starts now.
+	speedLimit float64
 	// deferrable units leave the headroom for urgent work free.
 	deferrable bool
 }
@@ -83,15 +85,17 @@
 	eligibleMs := max(spec.GetAcceptedMs(), g.job.dueMs(g.occurrence))
 	age := max(time.Duration(now.WallMs-eligibleMs)*time.Millisecond, now.BootTime-g.job.firstSeen)
 	workspace := spec.GetWorkspace()
+	work := p.work(g)
 	u := &schedulingUnit{
 		group:      g,
 		priority:   p.priority(spec),
 		guaranteed: p.priority(spec) == 0 && demand[workspace] <= p.operations.Config.Guaranteed(workspace),
 		overdue:    age > overdueFactor*objective,
-		slack:      objective - age - p.estimates.forGroup(g),
+		slack:      objective - age - time.Duration(p.runTimes.Fastest()*float64(work)),
 		minSlack:   p.stepSlack(g) - age,
 		waitTime:   now.BootTime - g.job.firstSeen,
 	}
+	u.speedLimit = p.speedLimit(g, objective, age)
 	u.deferrable = u.keepsHeadroom(objective)
 	return u
 }
@@ -110,7 +114,7 @@
 	if !ok {
 		return 0
 	}
-	return time.Duration(max(queue.Stretch-1, 0)*float64(p.estimates.lowest(g))) + queue.Slack
+	return time.Duration(max(queue.Stretch-1, 0)*float64(min(p.work(g), declaredRunTime(g.step)))) + queue.Slack
 }
 
 // criticalPath is the expected run time of the longest dependency chain through a job's steps.
@@ -121,7 +125,7 @@
 		for _, dependency := range step.GetDependsOn() {
 			ends[i] = max(ends[i], ends[dependency])
 		}
-		ends[i] += p.estimates.forStep(j.spec, step)
+		ends[i] += p.stepWork(j, int32(i))
 		longest = max(longest, ends[i])
 	}
 	return longest
