runtimes, dispatch: fit speeds jointly and learn run times between two looks

Change: works and speeds are fitted to each other over the last 256 steps with Huber weights, machines are divided into classes by the variance that the division explains, and progress counts from the first look that shows any to the last before completion. The end of a job is logged with its work and the declared run time.

--- a/dispatch/completion_test.go
+++ b/dispatch/completion_test.go
@@ -186,16 +186,16 @@
 			h := newHarness(t)
 			for step := range 4 {
 				id := fmt.Sprintf("a%015d", step)
-				h.submit(gangJob(id, "renders", 4, 2, 10*time.Second))
+				h.submit(gangJob(id, "renders", 4, 2, 5*time.Second))
 				for i := range 4 {
 					h.report(fmt.Sprintf("agent-%d", i), "r1", nil)
 				}
 				h.planner.jobs[id].spec.Steps[0].Spread = 1
 			}
 			h.planAndCommit()
-			for second := range int32(3) {
+			for second := range int32(4) {
 				for i := range 4 {
-					h.reportProgress(fmt.Sprintf("agent-%d", i), map[bool]int32{true: 4, false: 10}[i == 0]*second)
+					h.reportProgress(fmt.Sprintf("agent-%d", i), map[bool]int32{true: 8, false: 20}[i == 0]*second)
 				}
 				h.planAndCommit()
 				h.advance(time.Second)
--- a/dispatch/executor.go
+++ b/dispatch/executor.go
@@ -135,6 +135,11 @@
 	return time.Duration(e.state.GetSteadyMs()) * time.Millisecond
 }
 
+// clockAt is the expected reading of the executor's monotonic clock at a time.
+func (e *executor) clockAt(now Instant) time.Duration {
+	return e.clock() + now.BootTime - e.answeredAt
+}
+
 func (e *executor) hasLabel(label string) bool {
 	return label == "" || slices.Contains(e.state.GetLabels(), label)
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -95,6 +95,8 @@
 	progressedClock time.Duration
 	// basePercent is the progress from which the run resumed, or at which this scheduler first saw it.
 	basePercent int32
+	// pace holds the progress from which the run time is learned.
+	pace pace
 	// earlierRunTime is the estimated run time of a restored run before this scheduler first saw it listed.
 	earlierRunTime time.Duration
 	// checkpointedAt is when the run last wrote a checkpoint.
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -163,7 +163,8 @@
 	j.dirty = true
 	p.config.Log("job ended", append([]any{
 		"job", j.spec.GetId(), "state", state.String(), "queue", j.spec.GetQueue(),
-		"objective", p.objective(j).Milliseconds(),
+		"objective", p.objective(j).Milliseconds(), "work", p.criticalPath(j).Milliseconds(),
+		"declared", declaredPath(j).Milliseconds(),
 	}, j.history.fields(j.firstSeen, now.BootTime)...)...)
 	p.stopUnfinishedRuns(j, now)
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -261,11 +261,13 @@
 		r.checkpointedAt = now.BootTime
 		r.percent = running.GetPercent()
 		r.basePercent = running.GetPercent()
+		r.pace = pace{}
 	}
 	progressed := running.GetPercent() != r.percent
 	if progressed {
 		r.percent = running.GetPercent()
 		r.progressedClock = clock
+		r.pace = r.pace.withProgress(r.percent, clock)
 	}
 	if running.GetCheckpoint() != "" && running.GetCheckpoint() != r.task.checkpoint {
 		r.checkpointedAt = now.BootTime
--- a/dispatch/runhealth.go
+++ b/dispatch/runhealth.go
@@ -53,7 +53,7 @@
 func (p *Planner) checkProgress(snap *cellSnapshot, c *candidate, run *taskRun, now Instant) {
 	g := run.task.group
 	if isIncomplete(g) {
-		run.restartProgress(c.clock(), now)
+		run.restartProgress(c.clockAt(now), now)
 		return
 	}
 	expected := p.typicalRunTime(run)
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"radishpath.example/radishpath/cell/cellpb"
@@ -13,48 +14,52 @@
 
 // learnRunTimes learns from the groups whose runs have progressed or ended since the last time.
 func (p *Planner) learnRunTimes(now Instant) {
-	if now.BootTime-p.learnedAt < learningInterval {
+	if now.BootTime-p.learnedAt < learningInterval || len(p.progressedGroups) == 0 {
 		return
 	}
 	p.learnedAt = now.BootTime
 	for g := range p.progressedGroups {
-		p.learnGroup(g)
+		p.observeGroup(g)
+	}
+	for g := range p.progressedGroups {
+		if work, ok := p.runTimes.StepWork(g.id()); ok {
+			g.job.noteWork(g.stepIndex, work)
+		}
 	}
 	clear(p.progressedGroups)
 	p.logSpeedChanges()
 }
 
-func (p *Planner) learnGroup(g *group) {
-	if g.step.GetPersistent() {
-		return
-	}
+// observeGroup passes the run times of a group's tasks to the model.
+func (p *Planner) observeGroup(g *group) {
 	var runs []runtimes.Run
 	for _, t := range g.tasks {
-		if t.run != nil {
-			if total, ok := t.run.projectedTotal(); ok {
-				t.noteRunTime(t.run.agent, total)
-			}
-		}
-		if t.runTime > 0 {
+		if t.noteProgress() {
 			runs = append(runs, runtimes.Run{
 				Task:     t.id.Index,
 				Machine:  t.runTimeAgent,
-				Duration: time.Duration(float64(t.runTime) / p.remoteFactor(g, t.runTimeAgent)),
+				Duration: t.runTime,
 			})
 		}
 	}
-	work := p.runTimes.Observe(runtimes.Step{
-		ID:       fmt.Sprintf("%s.%d.%d", g.job.spec.GetId(), g.occurrence, g.stepIndex),
+	factor := p.rackFactor(g, runs)
+	for i := range runs {
+		runs[i].Duration = time.Duration(float64(runs[i].Duration) / factor / p.dataFactor(g, runs[i].Machine))
+	}
+	p.runTimes.Observe(runtimes.Step{
+		ID:       g.id(),
 		Queue:    g.job.spec.GetQueue(),
 		Declared: declaredRunTime(g.step),
 	}, runs)
-	if work > 0 {
-		g.job.noteWork(g.stepIndex, work)
-	}
 }
 
-// remoteFactor is the factor by which the tasks of a group take longer at an agent because of the rack that it is in.
-func (p *Planner) remoteFactor(g *group, agent string) float64 {
+// id identifies the group among those of all jobs.
+func (g *group) id() string {
+	return fmt.Sprintf("%s.%d.%d", g.job.spec.GetId(), g.occurrence, g.stepIndex)
+}
+
+// dataFactor is the factor by which the tasks of a group take longer at an agent because their data is elsewhere.
+func (p *Planner) dataFactor(g *group, agent string) float64 {
 	if g.step.GetDataRack() == "" {
 		return 1
 	}
@@ -64,17 +69,34 @@
 	return 1
 }
 
+// rackFactor is the factor by which the tasks of a gang take longer because its runs are in several racks.
+func (p *Planner) rackFactor(g *group, runs []runtimes.Run) float64 {
+	if !g.step.GetGang() || !g.step.GetSameRack() {
+		return 1
+	}
+	racks := map[string]bool{}
+	for _, run := range runs {
+		if e, ok := p.executors[run.Machine]; ok && e.state != nil {
+			racks[e.rack()] = true
+		}
+	}
+	if len(racks) > 1 {
+		return p.config.RemoteSlowdown
+	}
+	return 1
+}
+
 // logSpeedChanges logs the executors whose speed has changed as far as it counts for placement.
 func (p *Planner) logSpeedChanges() {
 	for _, e := range p.executors {
 		slowdown := p.runTimes.Slowdown(e.agent)
-		if slowdown == e.slowdown || e.state == nil {
+		samples := p.runTimes.Speed(e.agent).Samples
+		if samples == 0 || e.state == nil {
 			continue
 		}
 		if ratio := slowdown / e.loggedSlowdown(); ratio > minLoggedChange || ratio < 1/minLoggedChange {
 			p.config.Log("executor speed changed", "agent", e.agent, "executor", e.incarnation,
-				"before", percent(e.loggedSlowdown()), "after", percent(slowdown),
-				"samples", p.runTimes.Speed(e.agent).Samples)
+				"before", percent(e.loggedSlowdown()), "after", percent(slowdown), "samples", samples)
 			p.config.Count("speed_changes", speedName(slowdown))
 			e.slowdown = slowdown
 		}
@@ -166,20 +188,46 @@
 }
 
 // noteCompletion records the run time of a completed run, unless its start wasn't reported or it resumed from earlier
-// progress. A member of a gang ends with the slowest one, so that only its progress shows its own run time.
+// progress. A gang ends with its slowest member, so that the progress of the others shows their run times. If none was
+// seen, the whole is that of the member at the slowest executor.
 func (p *Planner) noteCompletion(run *taskRun, now Instant) {
-	if run.running && run.basePercent == 0 && !run.task.group.step.GetGang() {
-		run.task.noteRunTime(run.agent, now.BootTime-run.startedAt)
-	} else if total, ok := run.projectedTotal(); ok {
-		run.task.noteRunTime(run.agent, total)
+	g := run.task.group
+	p.progressedGroups[g] = true
+	lasted := now.BootTime - run.startedAt
+	switch {
+	case !run.running || run.basePercent > 0:
+		run.noteRunTime()
+	case !g.step.GetGang():
+		run.task.runTime, run.task.runTimeAgent = lasted, run.agent
+	case !slices.ContainsFunc(g.tasks, func(t *task) bool { return t.noteProgress() }):
+		t := run.task
+		t.runTime, t.runTimeAgent = lasted, p.slowestAgent(g, run.agent)
 	}
-	p.progressedGroups[run.task.group] = true
 }
 
-// noteRunTime records how long a run of the task takes at an agent.
-func (t *task) noteRunTime(agent string, total time.Duration) {
-	t.runTime = total
-	t.runTimeAgent = agent
+// slowestAgent returns the agent of the slowest executor among a gang's runs, one of which was at the given agent.
+func (p *Planner) slowestAgent(g *group, agent string) string {
+	for _, t := range g.tasks {
+		if t.run != nil && p.runTimes.Slowdown(t.run.agent) > p.runTimes.Slowdown(agent) {
+			agent = t.run.agent
+		}
+	}
+	return agent
+}
+
+// noteProgress records the run time of the task that its current run shows, and reports whether any is known.
+func (t *task) noteProgress() bool {
+	if t.run != nil {
+		t.run.noteRunTime()
+	}
+	return t.runTime > 0
+}
+
+// noteRunTime records for the run's task how long it takes where it is, once the progress shows it.
+func (r *taskRun) noteRunTime() {
+	if runTime, ok := r.pace.runTime(); ok {
+		r.task.runTime, r.task.runTimeAgent = runTime, r.agent
+	}
 }
 
 // noteWork records the observed work of a step, which all its occurrences share.
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -119,13 +119,24 @@
 
 // criticalPath is the expected run time of the longest dependency chain through a job's steps.
 func (p *Planner) criticalPath(j *job) time.Duration {
+	return longestChain(j, func(stepIndex int32) time.Duration { return p.stepWork(j, stepIndex) })
+}
+
+// declaredPath is the same from the declared run times.
+func declaredPath(j *job) time.Duration {
+	return longestChain(j, func(stepIndex int32) time.Duration {
+		return declaredRunTime(j.spec.GetSteps()[stepIndex])
+	})
+}
+
+func longestChain(j *job, runTime func(stepIndex int32) time.Duration) time.Duration {
 	ends := make([]time.Duration, len(j.spec.GetSteps()))
 	longest := time.Duration(0)
 	for i, step := range j.spec.GetSteps() {
 		for _, dependency := range step.GetDependsOn() {
 			ends[i] = max(ends[i], ends[dependency])
 		}
-		ends[i] += p.stepWork(j, int32(i))
+		ends[i] += runTime(int32(i))
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/runtimes/doc.go
+++ b/runtimes/doc.go
@@ -4,8 +4,9 @@
 // times, uneven tasks and a change of the mix of work therefore don't look like slow machines. It performs no I/O and
 // reads no clock.
 //
-// All statistics are medians over a bounded number of samples, because a few tasks take several times as long as others
-// of their kind. The memory in use is bounded by the machines and queues.
+// Works and speeds are fitted to each other by weighted means in which runs that take several times as long as the rest
+// of their step count little. The memory in use is bounded by the machines and queues. A refresh after new observations
+// costs some multiplications for each run that is kept.
 //
 // # Usage
 //
@@ -19,6 +20,6 @@
 //		{Task: 1, Machine: "agent-2", Duration: 7 * time.Second},
 //		{Task: 2, Machine: "agent-3", Duration: 17 * time.Second},
 //	})
-//	work := model.Work("renders", 8*time.Second)
+//	work := model.Work("renders", 6*time.Second)
 //	expected := time.Duration(float64(work) * model.Slowdown("agent-3"))
 package runtimes
--- a/runtimes/model.go
+++ b/runtimes/model.go
@@ -8,97 +8,88 @@
 )
 
 const (
-	// minMachines is the number of machines beside each other from which a step tells their speeds: with two, nothing
-	// shows which one is unusual.
+	// minMachines is the number of machines beside each other from which a step tells its work and their speeds: with
+	// two, nothing shows which one is unusual.
 	minMachines = 3
+	// maxSteps is the number of steps whose work is computed anew as the speeds of their machines become known.
+	maxSteps = 256
+	// maxStepRuns is the number of runs of a step that count.
+	maxStepRuns = 64
 	// minDifference is the ratio to the mean machine from which a machine's speed counts. Smaller differences are lost
 	// among those between the tasks of one step.
 	minDifference = 1.3
-	// classGap is the ratio between neighbours in the order of speed that separates two classes of machines.
-	classGap = 1.2
+	// minClassShare is the share of the known machines in a class from which a machine of unknown speed may belong to it.
+	minClassShare = 0.1
+	// fitRounds is the number of times that works and speeds are computed from each other after a change. Each time
+	// starts from the last result.
+	fitRounds = 4
+	// defaultDeviation is the standard deviation that the logarithms of the run times of a step's tasks are taken to have
+	// while there are too few runs to compute it, and minDeviation the least that they ever are.
+	defaultDeviation = 0.2
+	minDeviation     = 0.1
+	// minFreeShare is the divisor of the number of runs that gives how many of them the fit must leave over, so that the
+	// deviation can be computed from it.
+	minFreeShare = 4
 )
 
 // Model learns run times. It isn't safe for concurrent use.
 type Model struct {
 	machines map[string]*machine
 	queues   map[string]*queue
-	// reference is the mean slowdown of the known machines. fastest and slowest are the slowdowns of the fastest and the
-	// slowest class relative to it. They are valid unless stale is set.
+	// steps holds the steps whose work is still computed, the oldest first, and byID the same by id.
+	steps []*step
+	byID  map[string]*step
+	// reference is the mean slowdown of the known machines on the model's own scale, deviation that of the tasks of a
+	// step. fastest and slowest are the slowdowns of the fastest and the slowest usual class. They are valid unless stale
+	// is set.
 	reference float64
+	deviation float64
 	fastest   float64
 	slowest   float64
+	uneven    bool
 	stale     bool
 }
 
-// Step identifies a step whose runs are observed.
-type Step struct {
-	ID    string
-	Queue string
-	// Declared is the run time that the caller declared for each task.
-	Declared time.Duration
-}
-
-// Run is a run of a task, or what its progress leads to.
-type Run struct {
-	Task    int32
-	Machine string
-	// Duration is the run time of the whole task on this machine, without delays that the machine doesn't cause.
-	Duration time.Duration
-}
-
 // New returns a model that knows no machine and no queue.
 func New() *Model {
 	return &Model{
 		machines:  map[string]*machine{},
 		queues:    map[string]*queue{},
+		byID:      map[string]*step{},
 		reference: 1,
+		deviation: defaultDeviation,
 		fastest:   1,
 		slowest:   1,
 	}
 }
 
-// Observe learns from the runs of a step beside each other, and returns the work of the step: the run time of a typical
-// task on a machine of mean speed. A later observation of the same step replaces the earlier one. It returns 0 if there
-// are too few runs: one that crawls doesn't show how much work it has.
-func (m *Model) Observe(step Step, runs []Run) time.Duration {
-	runs = validRuns(runs)
-	if len(runs) == 0 {
-		return 0
+// Observe learns from the runs of a step beside each other. A later observation of the same step replaces the earlier
+// one.
+func (m *Model) Observe(observed Step, runs []Run) {
+	s, ok := m.byID[observed.ID]
+	if !ok {
+		s = newStep(observed)
 	}
-	works := make([]float64, 0, len(runs))
-	machines := map[string]bool{}
 	for _, run := range runs {
-		works = append(works, math.Log(run.Duration.Seconds())-m.logSlowdown(run.Machine))
-		machines[run.Machine] = true
-	}
-	work := median(works)
-	if len(machines) >= minMachines {
-		for _, run := range runs {
-			m.machine(run.Machine).observe(step.ID, run.Task, math.Log(run.Duration.Seconds())-work)
+		if run.Duration > 0 {
+			s.observe(run, m.machine(run.Machine))
 		}
-		m.stale = true
 	}
-	m.refresh()
-	relative := work + math.Log(m.reference)
-	m.queue(step.Queue).observe(step, relative)
-	if len(machines) < minMachines {
-		return 0
+	if len(s.runs) == 0 {
+		return
 	}
-	return seconds(math.Exp(relative))
-}
-
-// HasWork reports whether the work of a queue's steps has been observed often enough to be estimated.
-func (m *Model) HasWork(queue string) bool {
-	q, ok := m.queues[queue]
-	return ok && len(q.samples) >= minQueueSamples
+	if !ok {
+		s.start()
+		m.addStep(s)
+		m.queue(observed.Queue).addStep(s)
+	}
+	m.stale = true
 }
 
-// Restart notes that a machine restarted: what is known of its speed counts less.
-func (m *Model) Restart(machine string) {
-	if known, ok := m.machines[machine]; ok {
-		known.restart()
-		m.stale = true
-	}
+// Fastest returns the slowdown of the fastest machines, at most 1.
+func (m *Model) Fastest() float64 {
+	m.refresh()
+	return m.fastest
 }
 
 // Forget drops what is known of a machine.
@@ -107,6 +98,12 @@
 	m.stale = true
 }
 
+// HasWork reports whether the work of a queue's steps has been observed often enough to be estimated.
+func (m *Model) HasWork(queue string) bool {
+	q, ok := m.queues[queue]
+	return ok && len(q.steps) >= minQueueSteps
+}
+
 // Inherit takes over what an earlier model knew of a machine, unless this one knows as much. Values that no model
 // exports are ignored.
 func (m *Model) Inherit(machine string, exported Speed) {
@@ -117,36 +114,51 @@
 	m.stale = true
 }
 
-// Speed returns what is known of a machine, for Inherit; the zero value if nothing is.
-func (m *Model) Speed(machine string) Speed {
-	known, ok := m.machines[machine]
-	if !ok || known.count() == 0 {
-		return Speed{}
+// Restart notes that a machine restarted: what is known of its speed counts less.
+func (m *Model) Restart(machine string) {
+	if known, ok := m.machines[machine]; ok {
+		m.refresh()
+		known.restart()
+		m.stale = true
 	}
-	return known.export()
 }
 
 // Slowdown returns the factor by which tasks run longer on a machine than on one of mean speed. It is 1 unless the
-// difference is clear. While the speeds of machines differ, one of unknown speed counts as one of the slowest.
+// difference is clear. While the speeds of machines differ, one of unknown speed counts as one of the slowest class.
 func (m *Model) Slowdown(machine string) float64 {
 	m.refresh()
 	known, ok := m.machines[machine]
-	if !ok || known.count() < minMachineSamples {
+	if !ok || known.count() == 0 {
 		return m.slowest
 	}
 	return known.slowdown
 }
 
-// Fastest returns the slowdown of the fastest machines, at most 1.
-func (m *Model) Fastest() float64 {
+// Speed returns what is known of a machine, for Inherit; the zero value if nothing is.
+func (m *Model) Speed(machine string) Speed {
 	m.refresh()
-	return m.fastest
+	known, ok := m.machines[machine]
+	if !ok || known.count() == 0 {
+		return Speed{}
+	}
+	return known.export()
+}
+
+// StepWork returns the work of a step, the run time of a typical task on a machine of mean speed, or false if too few of
+// its runs were observed lately. One run that crawls doesn't show how much work it has.
+func (m *Model) StepWork(id string) (time.Duration, bool) {
+	s, ok := m.byID[id]
+	if !ok || !s.isSpread() {
+		return 0, false
+	}
+	m.refresh()
+	return seconds(math.Exp(s.work) * m.reference), true
 }
 
 // Uneven reports whether the speeds of some machines differ clearly.
 func (m *Model) Uneven() bool {
 	m.refresh()
-	return m.fastest != m.slowest
+	return m.uneven
 }
 
 // Work returns the expected work of a step of a queue for which a caller declared a run time.
@@ -154,7 +166,17 @@
 	if !m.HasWork(queue) {
 		return declared
 	}
-	return m.queues[queue].work(declared)
+	m.refresh()
+	return seconds(m.queues[queue].predict(declared) * m.reference)
+}
+
+func (m *Model) addStep(s *step) {
+	if len(m.steps) == maxSteps {
+		delete(m.byID, m.steps[0].id)
+		m.steps = slices.Delete(m.steps, 0, 1)
+	}
+	m.steps = append(m.steps, s)
+	m.byID[s.id] = s
 }
 
 func (m *Model) machine(name string) *machine {
@@ -177,21 +199,50 @@
 	return known
 }
 
-// logSlowdown returns the logarithm of a machine's slowdown on the model's own scale, 0 if nothing is known.
-func (m *Model) logSlowdown(name string) float64 {
-	if known, ok := m.machines[name]; ok {
-		return known.center
-	}
-	return 0
-}
-
-// refresh computes the reference and the slowdowns after a change.
+// refresh computes works, speeds and slowdowns after a change.
 func (m *Model) refresh() {
 	if !m.stale {
 		return
 	}
 	m.stale = false
-	m.reference, m.fastest, m.slowest = 1, 1, 1
+	for range fitRounds {
+		for _, s := range m.steps {
+			s.fit()
+		}
+		for _, known := range m.machines {
+			known.fit()
+		}
+	}
+	for _, q := range m.queues {
+		q.refresh()
+	}
+	m.computeDeviation()
+	m.computeSlowdowns()
+}
+
+// computeDeviation computes how far the tasks of a step differ, corrected for what the fit itself takes up.
+func (m *Model) computeDeviation() {
+	var residuals []float64
+	parameters := len(m.steps)
+	seen := map[*machine]bool{}
+	for _, s := range m.steps {
+		for _, run := range s.runs {
+			residuals = append(residuals, run.residual())
+			seen[run.machine] = true
+		}
+	}
+	free := len(residuals) - parameters - len(seen)
+	m.deviation = defaultDeviation
+	if free >= len(residuals)/minFreeShare && free > 0 {
+		correction := math.Sqrt(float64(len(residuals)) / float64(free))
+		m.deviation = max(correction*standardDeviation(residuals, 0), minDeviation)
+	}
+}
+
+// computeSlowdowns computes the slowdowns of the machines relative to their mean.
+func (m *Model) computeSlowdowns() {
+	wasUneven := m.uneven
+	m.reference, m.fastest, m.slowest, m.uneven = 1, 1, 1, false
 	known := m.knownMachines()
 	if len(known) == 0 {
 		return
@@ -201,25 +252,30 @@
 		sum += math.Exp(machine.center)
 	}
 	m.reference = sum / float64(len(known))
-	uneven := slices.ContainsFunc(known, func(machine *machine) bool { return machine.differs(m.reference) })
+	// Once speeds differ clearly, a difference of that size is enough, so that placement doesn't change with each sample.
+	m.uneven = slices.ContainsFunc(known, func(machine *machine) bool {
+		return machine.differs(m.reference) && (wasUneven || machine.isClear(m.reference, m.deviation))
+	})
 	for _, class := range speedClasses(known) {
 		slowdown := 1.0
-		if uneven {
+		if m.uneven {
 			slowdown = relativeSlowdown(class, m.reference)
 		}
 		for _, machine := range class {
 			machine.slowdown = slowdown
 		}
 		m.fastest = min(m.fastest, slowdown)
-		m.slowest = max(m.slowest, slowdown)
+		if float64(len(class)) >= minClassShare*float64(len(known)) {
+			m.slowest = max(m.slowest, slowdown)
+		}
 	}
 }
 
-// knownMachines returns the machines of known speed, the fastest first.
+// knownMachines returns the machines with samples, the fastest first.
 func (m *Model) knownMachines() []*machine {
 	var known []*machine
 	for _, machine := range m.machines {
-		if machine.count() >= minMachineSamples {
+		if machine.count() > 0 {
 			known = append(known, machine)
 		}
 	}
@@ -227,20 +283,6 @@
 	return known
 }
 
-// speedClasses divides machines, the fastest first, where the next one is clearly slower than the one before. Machines
-// of one class count as equally fast, so that small differences between them don't decide where work goes.
-func speedClasses(machines []*machine) [][]*machine {
-	var classes [][]*machine
-	first := 0
-	for i := 1; i <= len(machines); i++ {
-		if i == len(machines) || machines[i].center-machines[i-1].center > math.Log(classGap) {
-			classes = append(classes, machines[first:i])
-			first = i
-		}
-	}
-	return classes
-}
-
 // relativeSlowdown returns the slowdown of a class, or 1 if it hardly differs from the mean machine.
 func relativeSlowdown(class []*machine, reference float64) float64 {
 	relative := math.Exp(class[len(class)/2].center) / reference
@@ -250,17 +292,6 @@
 	return relative
 }
 
-// validRuns returns the runs with a positive duration.
-func validRuns(runs []Run) []Run {
-	valid := make([]Run, 0, len(runs))
-	for _, run := range runs {
-		if run.Duration > 0 {
-			valid = append(valid, run)
-		}
-	}
-	return valid
-}
-
 func seconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Second))
 }
--- a/runtimes/model_test.go
+++ b/runtimes/model_test.go
@@ -202,5 +202,7 @@
 	for _, known := range f.model.machines {
 		require.LessOrEqual(t, known.count(), maxMachineSamples)
 	}
-	require.Len(t, f.model.queues["renders"].samples, maxQueueSamples)
+	require.Len(t, f.model.queues["renders"].steps, maxQueueSteps)
+	require.Len(t, f.model.steps, maxSteps)
+	require.Len(t, f.model.byID, maxSteps)
 }
