--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -55,6 +55,10 @@
 	Seed uint64
 	// UseProxies puts a Proxy in front of each executor and of each entry's address for callers.
 	UseProxies bool
+	// Memory is the memory limit of each process in MB, as its settings name it, and Files the number of descriptors that
+	// it may open; 0 means no limit.
+	Memory int
+	Files  int
 	// AgentStore gives the agents the address of the store.
 	AgentStore bool
 }
@@ -270,8 +274,8 @@
 	role string, index int, ip string, endpoint *storeserver.Endpoint, roleSettings string,
 ) (*Process, error) {
 	name := fmt.Sprintf("%s-%d", role, c.generation*maxEntries+index+1)
-	settings := fmt.Sprintf("[%s]\nid = %s\nzone = %s\nlisten = %s:%d\nadmin = %s:%d\n%s", role, name, c.ZoneOf(index), ip,
-		c.basePort, ip, c.basePort+adminPortOffset, roleSettings)
+	settings := fmt.Sprintf("[%s]\nid = %s\nzone = %s\nlisten = %s:%d\nadmin = %s:%d\nmemory = %d\n%s", role, name,
+		c.ZoneOf(index), ip, c.basePort, ip, c.basePort+adminPortOffset, c.config.Memory, roleSettings)
 	path := filepath.Join(c.directory, name+".ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
@@ -282,6 +286,9 @@
 		clock:        c.config.Clock,
 		args:         []string{role, "--settings", path},
 		binary:       c.config.BinaryPath,
+		files:        c.config.Files,
+		AdminAddress: fmt.Sprintf("%s:%d", ip, c.basePort+adminPortOffset),
+		PeerAddress:  fmt.Sprintf("%s:%d", ip, c.basePort),
 		settingsPath: path,
 		logPath:      filepath.Join(c.directory, name+".log"),
 	}, nil
--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -19,6 +19,9 @@
 	Name string
 	// ReadyAddress is the address of the readiness check; empty for an agent.
 	ReadyAddress string
+	// AdminAddress and PeerAddress are the addresses for metrics and of the peer protocol.
+	AdminAddress string
+	PeerAddress  string
 	// Endpoint is the handler through which an entry accesses the store; nil for an agent.
 	Endpoint *storeserver.Endpoint
 	clock    clockwork.Clock
@@ -27,9 +30,11 @@
 	// settingsPath is the path of the settings file.
 	settingsPath string
 	logPath      string
-	mu           sync.Mutex
-	cmd          *exec.Cmd
-	exited       chan struct{}
+	// files is the number of descriptors that the process may open; 0 means no limit.
+	files  int
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
 	// restartMu is held during a restart.
 	restartMu sync.Mutex
 }
@@ -42,7 +47,7 @@
 	if err != nil {
 		return fmt.Errorf("open log of %s: %w", p.Name, err)
 	}
-	p.cmd = exec.CommandContext(ctx, p.binary, p.args...)
+	p.cmd = p.command(ctx)
 	p.cmd.Stdout = logFile
 	p.cmd.Stderr = logFile
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{
@@ -96,6 +101,34 @@
 	return p.Start(ctx)
 }
 
+// ID returns the id of the running process.
+func (p *Process) ID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// HasExited reports whether the process has ended since its last start.
+func (p *Process) HasExited() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// command returns the command that runs the process, through a shell if that has to limit its descriptors.
+func (p *Process) command(ctx context.Context) *exec.Cmd {
+	if p.files == 0 {
+		return exec.CommandContext(ctx, p.binary, p.args...)
+	}
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.files)
+	return exec.CommandContext(ctx, "sh", append([]string{"-c", script, p.binary}, p.args...)...)
+}
+
 // Signal sends a signal to the process if it was started.
 func (p *Process) Signal(signal syscall.Signal) {
 	p.mu.Lock()
