connlimit, cmd, peer: bound connections and the bytes of requests

Cause: nothing bounds the connections of a process or what unfinished requests hold; heads may have 1 MB, bodies take any time, a peer's message is buffered as long as its sender likes, and the peer server ends with the first error to accept. Change: two limiters in each process, for clients and for peers, whose bounds follow from its memory and descriptors. The oldest connection without a complete request gives way, never one that serves a request. Bodies are read whole before they are handled, within their limit, a time and a rate; a job has at most 4096 steps and decoding ends at the first that no job can have; errors to accept back off and are counted. New settings files, conns and head, with defaults.

A body over its limit is answered with 413 instead of 400; heads may have 32 KB instead of 1 MB.

Reads wait 0.5 s.

--- a/Makefile
+++ b/Makefile
@@ -19,10 +19,11 @@
 demo: build
 	go run ./demo -bin bin/radishpath
 
-# The process-level tests run alone, because their bounds are in seconds of real time.
+# The process-level tests run alone, because their bounds are in seconds of real time or in bytes of a process.
 test: lint build
-	go test -count=1 -timeout 4m $(SKIP) $$(go list ./... | grep -v '/proof$$')
+	go test -count=1 -timeout 4m $(SKIP) $$(go list ./... | grep -v -e '/proof$$' -e '/untrusted$$')
 	go test -count=1 -timeout 8m -parallel 4 $(SKIP) ./proof
+	go test -count=1 -timeout 8m $(SKIP) ./untrusted
 	bin/soak -bin bin/radishpath -seed 1 -seconds 12
 	bin/soak -bin bin/radishpath -seed 3 -seconds 12
 	bin/soak -bin bin/radishpath -seed 36 -seconds 12
--- a/caller/server.go
+++ b/caller/server.go
@@ -6,19 +6,17 @@
 	"fmt"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/gorilla/mux"
 
+	"radishpath.example/radishpath/connlimit"
 	"radishpath.example/radishpath/recovery"
 )
 
 const (
 	maxHeaderBytes = 16 << 10
-	// readHeaderTimeout and readTimeout close connections of callers that stop sending.
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
-	idleTimeout       = 2 * time.Minute
+	// bodyCost is the memory that a byte of a submission takes: its steps are much larger once they are decoded.
+	bodyCost = 16
 )
 
 // Server serves the HTTP API for callers.
@@ -65,17 +63,15 @@
 // Serve serves the API until ctx ends, then shuts down without interrupting a request.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	handler := recovery.Handler(s.config.Logger, s.config.Metrics, "jobs", s.Handler())
-	server := &http.Server{
-		Handler:           CloseAfterResponse(s.readyCtx, handler),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      readTimeout + maxWait + 2*baseCallTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          s.config.Logger.StandardLogger(nil),
-	}
+	server := s.config.Limiter.NewServer(connlimit.ServerConfig{
+		Handler:  CloseAfterResponse(s.readyCtx, handler),
+		ErrorLog: s.config.Logger.StandardLogger(nil),
+		MaxHead:  maxHeaderBytes,
+		MaxBody:  func() int64 { return maxBodyBytes },
+		BodyCost: bodyCost,
+	})
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(listener) }()
+	go func() { serveErr <- server.Serve(s.config.Limiter.Listen(listener)) }()
 	select {
 	case err := <-serveErr:
 		return fmt.Errorf("serve callers on %s: %w", listener.Addr(), err)
--- a/caller/serverconfig.go
+++ b/caller/serverconfig.go
@@ -7,6 +7,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
+
+	"radishpath.example/radishpath/connlimit"
 )
 
 const (
@@ -43,6 +45,8 @@
 	// 8192.
 	MaxWaitingCalls int
 	MaxCalls        int
+	// Limiter limits the connections; nil means no limits.
+	Limiter *connlimit.Limiter
 }
 
 // withDefaults returns the configuration with its unset fields set.
@@ -62,5 +66,8 @@
 	if c.MaxCalls == 0 {
 		c.MaxCalls = defaultMaxCalls
 	}
+	if c.Limiter == nil {
+		c.Limiter = connlimit.NewUnlimited(c.Logger, c.Clock)
+	}
 	return c
 }
--- a/cmd/agentcmd.go
+++ b/cmd/agentcmd.go
@@ -14,6 +14,9 @@
 	"radishpath.example/radishpath/settings"
 )
 
+// heartbeatCost is the memory that a byte of a heartbeat takes while it is read and decoded.
+const heartbeatCost = 2
+
 func (c *Config) newAgentCmd() *cobra.Command {
 	return newProcessCmd("agent", "Run the agent of an executor", settings.ParseAgent, c.runAgent)
 }
@@ -60,7 +63,10 @@
 		platform.NewHeartbeatHandler(platform.HeartbeatHandlerConfig{
 			Logger:          process.logger,
 			HandleHeartbeat: controller.HandleHeartbeat,
-		}))
+		}), bodyLimits{
+			max:  func() int64 { return platform.MaxHeartbeatBytes },
+			cost: heartbeatCost,
+		})
 	if err != nil {
 		return err
 	}
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -29,7 +29,9 @@
 	// operationsPollTimeout is how long a read of the operators' log waits for new records. While the store responds, an
 	// entry's copy of the API keys is never older than this plus the response time.
 	operationsPollTimeout = time.Second
-	cellPollTimeout       = time.Second
+	// cellPollTimeout is how long a read of the cell's log waits for new records. Between two reads of a log without any,
+	// an entry's copy grows twice as old, which must not look like an unreachable store.
+	cellPollTimeout = 500 * time.Millisecond
 	// maxCellReadsPerSecond bounds the reads of the cell's log by all entries that don't schedule. maxCellReadPause keeps
 	// their copies fresh enough to find jobs that another entry has just accepted, and to notice a lost scheduler.
 	maxCellReadsPerSecond = 400
@@ -39,6 +41,8 @@
 	leaseExtension = 10 * time.Second
 	// drainFraction is the fraction of the grace period during which an entry that shuts down still accepts calls.
 	drainFraction = 0.45
+	// submissionCost is the memory that a byte of a submission takes: its steps are much larger once they are decoded.
+	submissionCost = 16
 	// shutdownFraction is the fraction of the grace period after which remaining calls are aborted.
 	shutdownFraction = 0.8
 )
@@ -204,7 +208,7 @@
 		return err
 	}
 	_, readinessServerDone, err := process.serveHTTP(runCtx, "readiness", processSettings.Ready,
-		platform.NewReadinessHandler(e.gateway.Ready))
+		platform.NewReadinessHandler(e.gateway.Ready), bodyLimits{})
 	if err != nil {
 		return err
 	}
@@ -213,7 +217,10 @@
 		return err
 	}
 	callers, callerServerDone, err := process.serveHTTP(runCtx, "callers", processSettings.CallerAddress,
-		caller.CloseAfterResponse(ctx, e.callers()))
+		caller.CloseAfterResponse(ctx, e.callers()), bodyLimits{
+			max:  e.maxBodyBytes,
+			cost: submissionCost,
+		})
 	if err != nil {
 		return err
 	}
@@ -258,6 +265,7 @@
 		Cancel:       jobService.Cancel,
 		Authenticate: jobService.Authenticate,
 		Ready:        jobService.Ready,
+		Limiter:      e.clients,
 		DrainDelay:   time.Duration(drainFraction * float64(e.read.ShutdownGrace)),
 	})
 	serveCtx, cancel := context.WithCancel(ctx)
@@ -283,15 +291,21 @@
 
 func (e *entry) callers() http.Handler {
 	return platform.NewCallerHandler(platform.CallerHandlerConfig{
-		Submit: e.gateway.Submit,
-		Lookup: e.gateway.Lookup,
-		Cancel: e.gateway.Cancel,
-		MaxBodyBytes: func() int64 {
-			return e.mirror.Operations().Config.Limits.MaxBodyBytes
-		},
+		Submit:       e.gateway.Submit,
+		Lookup:       e.gateway.Lookup,
+		Cancel:       e.gateway.Cancel,
+		MaxBodyBytes: e.maxBodyBytes,
 	})
 }
 
+// maxBodyBytes is the largest size of a submission, as published.
+func (e *entry) maxBodyBytes() int64 {
+	if limit := e.mirror.Operations().Config.Limits.MaxBodyBytes; limit > 0 {
+		return limit
+	}
+	return platform.DefaultMaxBodyBytes
+}
+
 // announceMember writes the address of this entry to the cell's log, where other entries find it, and retries until it
 // succeeds.
 func (e *entry) announceMember(ctx context.Context, c *Config) {
--- a/cmd/process.go
+++ b/cmd/process.go
@@ -10,13 +10,13 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
 	"google.golang.org/protobuf/proto"
 
 	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/connlimit"
 	"radishpath.example/radishpath/logsink"
 	"radishpath.example/radishpath/operator"
 	"radishpath.example/radishpath/peer"
@@ -44,6 +44,9 @@
 	pool    *peer.Pool
 	// serverTLS is nil if processes communicate over plain TCP.
 	serverTLS *tls.Config
+	// clients and peers limit the connections of the HTTP servers and of the peer protocol.
+	clients *connlimit.Limiter
+	peers   *connlimit.Limiter
 }
 
 // newProcessCmd returns the command that runs a process of a role until its context ends.
@@ -89,7 +92,7 @@
 	}
 	logger.Info("process starting", "settings", path, "zone", read.Zone,
 		"listen", read.Listen, "store", read.StoreAddress)
-	return &process{
+	created := &process{
 		read:    read,
 		logger:  logger,
 		logSink: logSink,
@@ -101,7 +104,9 @@
 			TLS:                    tlsConfigs.client,
 		}),
 		serverTLS: tlsConfigs.server,
-	}, nil
+	}
+	created.clients, created.peers = created.newLimiters(c)
+	return created, nil
 }
 
 func (p *process) close() {
@@ -142,8 +147,9 @@
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
 	server := peer.NewServer(peer.ServerConfig{
-		Logger: p.logger,
-		TLS:    p.serverTLS,
+		Logger:  p.logger,
+		TLS:     p.serverTLS,
+		Limiter: p.peers,
 		Handler: func(ctx context.Context, read func(proto.Message) error) (proto.Message, error) {
 			request := &cellpb.Request{}
 			if err := read(request); err != nil {
@@ -162,37 +168,40 @@
 	return serverDone, nil
 }
 
+// bodyLimits are the bounds on the bodies of requests to an HTTP server.
+type bodyLimits struct {
+	// max returns the largest size in bytes; nil means that there are no bodies.
+	max func() int64
+	// cost is the memory that a byte of a body takes while the request is handled, in bytes.
+	cost int64
+}
+
 // serveHTTP serves a handler until the server is shut down.
 func (p *process) serveHTTP(
-	ctx context.Context, name, address string, handler http.Handler,
+	ctx context.Context, name, address string, handler http.Handler, bodies bodyLimits,
 ) (*http.Server, <-chan error, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
-	server := &http.Server{
-		Handler:           recovery.Handler(p.logger, p.metrics.Scope, name, handler),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          p.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
+	server := p.clients.NewServer(connlimit.ServerConfig{
+		Handler:  recovery.Handler(p.logger, p.metrics.Scope, name, handler),
+		ErrorLog: p.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		MaxHead:  p.read.MaxHeadKB << 10,
+		MaxBody:  bodies.max,
+		BodyCost: bodies.cost,
+	})
 	serverDone := make(chan error, 1)
-	go func() { serverDone <- server.Serve(listener) }()
+	go func() { serverDone <- server.Serve(p.clients.Listen(listener)) }()
 	return server, serverDone, nil
 }
 
 // serveAdmin serves metrics and profiles. The channel receives the error that ends the server.
 func (p *process) serveAdmin(ctx context.Context, address string) (<-chan error, error) {
-	_, serverDone, err := p.serveHTTP(ctx, "metrics", address, operator.NewAdmin(p.metrics.Handler))
+	_, serverDone, err := p.serveHTTP(ctx, "metrics", address, operator.NewAdmin(p.metrics.Handler), bodyLimits{})
 	return serverDone, err
 }
 
-const (
-	// headerTimeout and idleTimeout limit how long connections on which no request arrives stay open.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 30 * time.Second
-)
-
 // watchSettings calls apply whenever the settings file changes, until ctx ends. SIGHUP announces a change.
 func (p *process) watchSettings(
 	ctx context.Context, config settings.WatcherConfig, apply func(seedAddresses []string),
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/rogpeppe/go-internal/testscript"
 	"google.golang.org/protobuf/proto"
@@ -22,6 +23,7 @@
 	"radishpath.example/radishpath/caller/callerclient"
 	"radishpath.example/radishpath/cell"
 	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/connlimit"
 	"radishpath.example/radishpath/peer"
 	"radishpath.example/radishpath/standin/storeserver"
 )
@@ -117,6 +119,7 @@
 		return "", fmt.Errorf("entry: %w", err)
 	}
 	server := peer.NewServer(peer.ServerConfig{
+		Limiter: connlimit.NewUnlimited(hclog.NewNullLogger(), clockwork.NewRealClock()),
 		Handler: func(_ context.Context, read func(proto.Message) error) (proto.Message, error) {
 			return &cellpb.Reply{Operations: 1 << 40}, read(&cellpb.Request{})
 		},
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -31,9 +31,9 @@
 	// maxReadyOperationsAge is the maximum age of the operators' configuration for the entry to be ready. Each poll
 	// waits a second, so the configuration is up to 2 s old before the next poll confirms it.
 	maxReadyOperationsAge = 2600 * time.Millisecond
-	// storeUnreachableAge is the age of the cell state above which the store counts as unreachable. The scheduler's
+	// StoreUnreachableAge is the age of the cell state above which the store counts as unreachable. The scheduler's
 	// heartbeats keep the age far below.
-	storeUnreachableAge = 1500 * time.Millisecond
+	StoreUnreachableAge = 1500 * time.Millisecond
 	// keyRevocationMargin is subtracted from Config.KeyRevocationLimit to get the maximum age of the configuration for
 	// checking API keys.
 	keyRevocationMargin = 300 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -283,12 +283,12 @@
 	}
 }
 
-// storeUnreachable reports whether this entry has had no response from the store for longer than storeUnreachableAge.
+// storeUnreachable reports whether this entry has had no response from the store for longer than StoreUnreachableAge.
 // The gateway then relays appends to the other entries only, and rejects a call that they reject: a direct append would
 // leave its outcome unknown.
 func (g *Gateway) storeUnreachable() bool {
 	age, ok := g.config.StateAge()
-	return !ok || age > storeUnreachableAge
+	return !ok || age > StoreUnreachableAge
 }
 
 // appendOnce makes one append attempt. Attempts alternate between the store and the relay; while the store is
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -8,6 +8,7 @@
 //	server := peer.NewServer(peer.ServerConfig{
 //		Logger:  logger,
 //		Handler: handler,
+//		Limiter: limiter,
 //	})
 //	err := server.Serve(ctx, listener)
 //
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -6,11 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/connlimit"
 )
 
 // handleFunc handles a request of the peer protocol and returns the reply.
@@ -34,6 +36,7 @@
 	done := make(chan error, 1)
 	go func() {
 		done <- NewServer(ServerConfig{
+			Limiter: connlimit.NewUnlimited(hclog.NewNullLogger(), clockwork.NewRealClock()),
 			Handler: newHandler(handle),
 		}).Serve(ctx, listener)
 	}()
@@ -149,6 +152,7 @@
 		done := make(chan error, 1)
 		go func() {
 			done <- NewServer(ServerConfig{
+				Limiter: connlimit.NewUnlimited(hclog.NewNullLogger(), clockwork.NewRealClock()),
 				Handler: newHandler(echo),
 			}).Serve(ctx, listener)
 		}()
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,17 +13,32 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
+
+	"radishpath.example/radishpath/connlimit"
 )
 
 // HandlerFunc handles a call: it decodes the request with read and returns the reply.
 type HandlerFunc func(ctx context.Context, read func(request proto.Message) error) (proto.Message, error)
 
+const (
+	// firstRequestTimeout is the time within which a new session brings its first request.
+	firstRequestTimeout = 5 * time.Second
+	// requestTimeout is the time within which a request arrives.
+	requestTimeout = 10 * time.Second
+	// requestCost is the memory that a byte of a request takes while it is read and decoded, in bytes.
+	requestCost = 3
+	// maxSessionStreams is the number of calls that a session may have at the same time.
+	maxSessionStreams = 256
+)
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Logger  hclog.Logger
 	Handler HandlerFunc
 	// TLS turns on mutual TLS; nil means plain TCP.
 	TLS *tls.Config
+	// Limiter limits the sessions and the bytes of unfinished requests.
+	Limiter *connlimit.Limiter
 }
 
 // Server handles calls from other processes.
@@ -42,9 +58,7 @@
 
 // Serve accepts connections until ctx ends, then closes them and waits for the handlers to return.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	if s.config.TLS != nil {
-		listener = tls.NewListener(listener, s.config.TLS)
-	}
+	listener = s.config.Limiter.Listen(listener)
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -65,6 +79,18 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	limited, ok := conn.(*connlimit.Conn)
+	if !ok {
+		_ = conn.Close()
+		return
+	}
+	served := &servedSession{
+		conn: limited,
+	}
+	limited.SetReadTimeout(firstRequestTimeout)
+	if s.config.TLS != nil {
+		conn = tls.Server(conn, s.config.TLS)
+	}
 	session, err := yamux.Server(conn, yamuxConfig())
 	if err != nil {
 		s.config.Logger.Warn("failed to open session", "remote", conn.RemoteAddr(), "error", err)
@@ -81,20 +107,45 @@
 		if err != nil {
 			return
 		}
-		streams.Go(func() { s.serveStream(ctx, stream) })
+		if session.NumStreams() > maxSessionStreams {
+			return
+		}
+		streams.Go(func() {
+			if errors.Is(s.serveStream(ctx, served, stream), errLimit) {
+				// A stream that is closed alone keeps its buffer for as long as its peer may take to close it.
+				_ = session.Close()
+			}
+		})
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, stream net.Conn) {
-	defer func() { _ = stream.Close() }()
-	reply, err := s.config.Handler(ctx, func(request proto.Message) error { return readMessage(stream, request) })
+// serveStream handles one call. The error is that of its request.
+func (s *Server) serveStream(ctx context.Context, session *servedSession, stream net.Conn) (requestErr error) {
+	defer func() {
+		if !errors.Is(requestErr, errLimit) {
+			_ = stream.Close()
+		}
+	}()
+	begun := false
+	defer func() { session.end(begun) }()
+	reply, err := s.config.Handler(ctx, func(request proto.Message) error {
+		stop := s.config.Limiter.AfterFunc(requestTimeout, func() { _ = session.conn.Close() })
+		defer stop()
+		if requestErr = readRequest(stream, session.conn, request); requestErr != nil {
+			return requestErr
+		}
+		begun = true
+		session.begin()
+		return nil
+	})
 	if err != nil {
 		s.config.Logger.Warn("failed to handle request", "error", err)
-		return
+		return requestErr
 	}
 	if err = writeMessage(stream, reply); err != nil {
 		s.config.Logger.Warn("failed to write reply", "error", err)
 	}
+	return nil
 }
 
 // yamuxConfig disables yamux's keepalive: every process sends its own heartbeats, and a keepalive would hide a paused
--- a/runtimes/classes.go
+++ b/runtimes/classes.go
@@ -2,8 +2,8 @@
 
 import "math"
 
-// minExplainedShare is the share of the variance of machines' speeds that the division into two classes must explain. It
-// is 0.64 for normally distributed speeds, which form no classes, and nearly 1 for two classes.
+// minExplainedShare is the share of the variance of machines' speeds that the division into two classes must explain.
+// It is 0.64 for normally distributed speeds, which form no classes, and nearly 1 for two classes.
 const minExplainedShare = 0.7
 
 // speedClasses divides machines, the fastest first, into classes that clearly differ in speed. Machines of one class
--- a/runtimes/machine.go
+++ b/runtimes/machine.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// isClear reports whether the tasks of a step, which deviate from each other, don't explain how the machine differs from
-// the mean one.
+// isClear reports whether the tasks of a step, which deviate from each other, don't explain how the machine differs
+// from the mean one.
 func (m *machine) isClear(reference, deviation float64) bool {
 	return math.Abs(m.center-math.Log(reference)) > clearErrors*deviation/math.Sqrt(float64(m.count()))
 }
--- a/runtimes/model.go
+++ b/runtimes/model.go
@@ -144,8 +144,8 @@
 	return known.export()
 }
 
-// StepWork returns the work of a step, the run time of a typical task on a machine of mean speed, or false if too few of
-// its runs were observed lately. One run that crawls doesn't show how much work it has.
+// StepWork returns the work of a step, the run time of a typical task on a machine of mean speed, or false if too few
+// of its runs were observed lately. One run that crawls doesn't show how much work it has.
 func (m *Model) StepWork(id string) (time.Duration, bool) {
 	s, ok := m.byID[id]
 	if !ok || !s.isSpread() {
--- a/settings/process.go
+++ b/settings/process.go
@@ -11,8 +11,12 @@
 
 // Limits of settings.
 const (
-	minDuration             = 100 * time.Millisecond
-	maxMemoryMB             = 1 << 20
+	minDuration = 100 * time.Millisecond
+	maxMemoryMB = 1 << 20
+	maxFiles    = 1 << 20
+	// defaultHeadKB is twice what published configurations allow callers.
+	defaultHeadKB           = 32
+	maxHeadKB               = 1 << 10
 	maxRemoteSlowdownFactor = 100
 )
 
@@ -33,8 +37,14 @@
 	Cores float64
 	// MemoryMB is the memory limit of the process in MB.
 	MemoryMB int
-	Log      LogSettings
-	TLS      TLSSettings
+	// Files is the number of descriptors that the process may open; 0 means what the system says.
+	Files int
+	// MaxConns is the number of connections of clients, and of peers; 0 means as many as memory and descriptors allow.
+	MaxConns int
+	// MaxHeadKB is the largest size of the head of a request in KB.
+	MaxHeadKB int
+	Log       LogSettings
+	TLS       TLSSettings
 	// AdviceAddress is the address of the advice service, which decides which executors may run a queue's tasks; may be
 	// empty.
 	AdviceAddress string
@@ -121,6 +131,9 @@
 		AdminAddress: readAddress(reader, "admin", "127.0.0.1:7001"),
 		Cores:        readCores(reader),
 		MemoryMB:     reader.Int("memory", 0, 0, maxMemoryMB),
+		Files:        reader.Int("files", 0, 0, maxFiles),
+		MaxConns:     reader.Int("conns", 0, 0, maxFiles),
+		MaxHeadKB:    reader.Int("head", defaultHeadKB, 1, maxHeadKB),
 		Log:          readLog(file),
 		TLS:          readTLS(file),
 	}
--- a/untrusted/clients_test.go
+++ b/untrusted/clients_test.go
@@ -124,7 +124,8 @@
 	return len(entries)
 }
 
-// watchFiles samples the descriptors of a process until the returned function is called, which returns the most seen.
+// watchFiles samples the descriptors of a process until the returned function is called, which returns the most
+// seen.
 func (h *harness) watchFiles(process *cluster.Process) func() int {
 	stop, done := make(chan struct{}), make(chan int)
 	go func() {
@@ -146,8 +147,8 @@
 }
 
 func head(method, path string, fields ...string) []byte {
-	return []byte(method + " " + path + " HTTP/1.1\r\nHost: " + cluster.Host + "\r\nAuthorization: Token " + cluster.APIKey +
-		"\r\n" + strings.Join(fields, ""))
+	return []byte(method + " " + path + " HTTP/1.1\r\nHost: " + cluster.Host +
+		"\r\nAuthorization: Token " + cluster.APIKey + "\r\n" + strings.Join(fields, ""))
 }
 
 // headField is a line of a head that is repeated.
@@ -183,8 +184,8 @@
 	return append(frame(yamuxData, 0, part), make([]byte, part)...)
 }
 
-// TestCrowds guards against clients that end a process or make it hang: in a trial, heads over the limit and without end
-// made one run out of memory, and silent connections take the descriptors by which a scheduler leads.
+// TestCrowds guards against clients that end a process or make it hang: in a trial, heads over the limit and without
+// end made one run out of memory, and silent connections take the descriptors by which a scheduler leads.
 func TestCrowds(t *testing.T) {
 	callers := func(h *harness) (*cluster.Process, string) { return h.Entries[0], h.CallerAddresses[0] }
 	jobs := func(h *harness) (*cluster.Process, string) { return h.Entries[0], h.JobsAddresses[0] }
