scheduler: send an unanswered append once more beside the first copy

Cause: an append without an answer was repeated after 0.5 s and then after 1 s more, one copy at a time. Two lost answers in a row leave the log without a record for 1.5 s, and another entry claims after 1 s: while the store's answers were lost, schedulers replaced each other every 1.1 to 3 s, and each one contacts all executors anew. Change: a copy under the same sequence number follows after 0.2 s without an answer, or three times the usual time of an answer, at most four at a time; the first answer decides. Copies that are carried out late have no effect, since the log has their sequence number.

--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -44,10 +44,9 @@
 	// maxRelayAgents is the maximum number of agents listed in each reply. An agent that can't reach any entry sends its
 	// reports through one of them.
 	maxRelayAgents = 4
-	// initialAppendTimeout and maxAppendTimeout bound one append. The timeout doubles after each append without a known
-	// outcome, so that a slow log gets the time to answer.
-	initialAppendTimeout = 500 * time.Millisecond
-	maxAppendTimeout     = 3 * time.Second
+	// maxAppendTimeout bounds one append.
+	maxAppendTimeout = 3 * time.Second
+	// initialAppendBackoff and maxAppendBackoff bound the delay after an append that was rejected.
 	initialAppendBackoff = 20 * time.Millisecond
 	maxAppendBackoff     = 300 * time.Millisecond
 	// adviceTimeout bounds one request to the advice service, which handles one at a time from each machine.
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -24,7 +24,7 @@
 	config          Config
 	epoch           int64
 	resignRequested <-chan struct{}
-	append          appendFunc
+	appender        *appender
 	planner         *dispatch.Planner
 	incomingReports chan *pendingReport
 	appendResults   chan appendResult
@@ -77,7 +77,12 @@
 		config:          config,
 		epoch:           epoch,
 		resignRequested: resignRequested,
-		append:          appendRecords,
+		appender: &appender{
+			append:   appendRecords,
+			logger:   config.Logger,
+			clock:    config.Clock,
+			bootTime: config.BootTime,
+		},
 		planner:         dispatch.New(config.Dispatch, now),
 		incomingReports: make(chan *pendingReport),
 		appendResults:   make(chan appendResult, 1),
@@ -267,7 +272,9 @@
 	}
 	go func() {
 		result.err = recovery.Run(t.config.Logger, t.config.Metrics, "append", func() error {
-			return t.appendWithRetry(ctx, records, fence, &result)
+			sentAt, err := t.appender.run(ctx, records, fence)
+			result.sentAt = sentAt
+			return err
 		})
 		t.appendResults <- result
 	}()
@@ -304,36 +311,3 @@
 	}
 	return append(records, claim)
 }
-
-// appendWithRetry retries an append under the same sequence number until it succeeds or can't succeed any more. It sets
-// sentAt of the result to when the last attempt was sent.
-func (t *term) appendWithRetry(
-	ctx context.Context, records []cell.LogRecord, fence *cell.Fence, result *appendResult,
-) error {
-	timeout, backoff := initialAppendTimeout, initialAppendBackoff
-	for failures := 0; ; failures++ {
-		result.sentAt = t.config.BootTime.Now()
-		_, err := t.append(ctx, records, fence, -1, timeout)
-		var sequenceErr *cell.SequenceError
-		switch {
-		case err == nil:
-			if failures > 0 {
-				t.config.Logger.Info("append to the log succeeded after retries",
-					"sequence", fence.Sequence, "failures", failures)
-			}
-			return nil
-		case errors.Is(err, cell.ErrFenced), errors.As(err, &sequenceErr), ctx.Err() != nil:
-			return err
-		case failures == 0:
-			t.config.Logger.Warn("append to the log failed; retrying", "sequence", fence.Sequence, "error", err)
-		}
-		if errors.Is(err, cell.ErrOutcomeUnknown) {
-			timeout = min(2*timeout, maxAppendTimeout)
-		}
-		select {
-		case <-ctx.Done():
-		case <-t.config.Clock.After(backoff):
-		}
-		backoff = min(2*backoff, maxAppendBackoff)
-	}
-}
