runtimes, dispatch: learn which kinds of tasks slow each other down, and keep them apart

Cause: tasks on one executor share more than its room, and the planner placed them by the tightest fit. Change: the model has a third factor, the slowdown of a kind of task by another kind beside it, learned from the parts of run times that work and speed leave over; placement prefers, after health and speed, the executor where tasks slow each other least, and logs where it can't. Nothing changes while no pair is believed.

--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -61,6 +61,9 @@
 // noteRun notes whose runs a candidate has.
 func (c *candidate) noteRun(t *task) {
 	j := t.group.job
+	if c.kinds != nil {
+		c.kinds[t.group.kind()]++
+	}
 	switch {
 	case c.onlyJob == nil && !c.shared:
 		c.onlyJob = j
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -69,6 +69,8 @@
 	// runTime is how long the newest run of which that is known takes, at runTimeAgent; 0 if none is known.
 	runTime      time.Duration
 	runTimeAgent string
+	// runTimeBeside holds the kinds of the tasks beside that run.
+	runTimeBeside []string
 	// isolatedUntil ends the wait of a suspect task for an executor of its own; 0 if it hasn't begun.
 	isolatedUntil time.Duration
 }
@@ -97,6 +99,8 @@
 	basePercent int32
 	// pace holds the progress from which the run time is learned.
 	pace pace
+	// learnedPace is the pace that was last learned from.
+	learnedPace pace
 	// earlierRunTime is the estimated run time of a restored run before this scheduler first saw it listed.
 	earlierRunTime time.Duration
 	// checkpointedAt is when the run last wrote a checkpoint.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -192,8 +192,8 @@
 }
 
 // compareCandidates prefers a candidate other than the one where the task last failed, then one other than those that
-// crashed under it, then one with fewer failed tasks, then one that is fast enough and no faster, and then the tightest
-// fit.
+// crashed under it, then one with fewer failed tasks, then one that is fast enough and no faster, then one where
+// tasks slow each other less, and then the tightest fit.
 func compareCandidates(x, y *candidate, u *schedulingUnit, t *task) int {
 	if order := -compareTrueFirst(x.agent == t.lastFailedAgent, y.agent == t.lastFailedAgent); order != 0 {
 		return order
@@ -207,6 +207,9 @@
 	if order := u.compareSpeeds(x, y); order != 0 {
 		return order
 	}
+	if order := u.compareNeighbours(x, y); order != 0 {
+		return order
+	}
 	if order := cmp.Compare(x.available.Accelerators, y.available.Accelerators); order != 0 {
 		return order
 	}
@@ -246,6 +249,7 @@
 		c := chosen[i]
 		c.free = c.free.Minus(request)
 		c.idle = false
+		p.logNeighbours(u, t, c)
 		c.noteRun(t)
 		t.runNumber = runNumber + 1
 		if u.group.step.GetGang() {
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -34,11 +34,16 @@
 func (p *Planner) observeGroup(g *group) {
 	var runs []runtimes.Run
 	for _, t := range g.tasks {
+		if t.run != nil && t.run.pace != t.run.learnedPace {
+			t.run.learnedPace = t.run.pace
+			t.runTimeBeside = p.kindsBeside(t.run)
+		}
 		if t.noteProgress() {
 			runs = append(runs, runtimes.Run{
 				Task:     t.id.Index,
 				Machine:  t.runTimeAgent,
 				Duration: t.runTime,
+				Beside:   t.runTimeBeside,
 			})
 		}
 	}
@@ -49,6 +54,7 @@
 	p.runTimes.Observe(runtimes.Step{
 		ID:       g.id(),
 		Queue:    g.job.spec.GetQueue(),
+		Kind:     g.kind(),
 		Declared: declaredRunTime(g.step),
 	}, runs)
 }
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -34,6 +34,8 @@
 	failedRecently bool
 	// slowdown is the factor by which tasks run longer there than on an executor of mean speed.
 	slowdown float64
+	// kinds counts the tasks there by kind; nil as long as no kinds are known to slow each other down.
+	kinds map[string]int
 	// onlyJob is the job of all runs there, nil if there are none; shared is set if there are runs of several jobs.
 	onlyJob *job
 	shared  bool
@@ -126,6 +128,9 @@
 			schedulable: p.schedulable(e, now) && (ignoreQuarantine || e.health.schedulable(now.BootTime)),
 			slowdown:    p.runTimes.Slowdown(e.agent),
 		}
+		if p.runTimes.Interferes() {
+			c.kinds = map[string]int{}
+		}
 		snap.candidates = append(snap.candidates, c)
 		snap.byIncarnation[e.incarnation] = c
 	}
--- a/dispatch/unit.go
+++ b/dispatch/unit.go
@@ -30,6 +30,8 @@
 	waitTime time.Duration
 	// speedLimit is the largest slowdown of executors on which the unit ends in time if it starts now.
 	speedLimit float64
+	// conflicts holds, by kind of neighbour, how much tasks of the unit and the neighbour slow each other down.
+	conflicts map[string]float64
 	// deferrable units leave the headroom for urgent work free.
 	deferrable bool
 }
@@ -95,6 +97,9 @@
 		minSlack:   p.stepSlack(g) - age,
 		waitTime:   now.BootTime - g.job.firstSeen,
 	}
+	if p.runTimes.Interferes() {
+		u.conflicts = p.runTimes.Conflicts(g.kind())
+	}
 	u.speedLimit = p.speedLimit(g, objective, age)
 	u.deferrable = u.keepsHeadroom(objective)
 	return u
--- a/runtimes/machine.go
+++ b/runtimes/machine.go
@@ -102,5 +102,5 @@
 	if s.run == nil {
 		return s.inherited
 	}
-	return s.run.runTime - s.run.step.work
+	return s.run.residual() + s.run.machine.center
 }
--- a/runtimes/model.go
+++ b/runtimes/model.go
@@ -36,6 +36,7 @@
 type Model struct {
 	machines map[string]*machine
 	queues   map[string]*queue
+	pairs    map[pairKey]*pair
 	// steps holds the steps whose work is still computed, the oldest first, and byID the same by id.
 	steps []*step
 	byID  map[string]*step
@@ -47,7 +48,9 @@
 	fastest   float64
 	slowest   float64
 	uneven    bool
-	stale     bool
+	// interferes is set if some kinds of tasks slow others down.
+	interferes bool
+	stale      bool
 }
 
 // New returns a model that knows no machine and no queue.
@@ -55,6 +58,7 @@
 	return &Model{
 		machines:  map[string]*machine{},
 		queues:    map[string]*queue{},
+		pairs:     map[pairKey]*pair{},
 		byID:      map[string]*step{},
 		reference: 1,
 		deviation: defaultDeviation,
@@ -72,7 +76,7 @@
 	}
 	for _, run := range runs {
 		if run.Duration > 0 {
-			s.observe(run, m.machine(run.Machine))
+			s.observe(run, m.machine(run.Machine), m.pairsOf(observed.Kind, run.Beside))
 		}
 	}
 	if len(s.runs) == 0 {
@@ -212,12 +216,14 @@
 		for _, known := range m.machines {
 			known.fit()
 		}
+		m.fitPairs()
 	}
 	for _, q := range m.queues {
 		q.refresh()
 	}
 	m.computeDeviation()
 	m.computeSlowdowns()
+	m.noteBelieved()
 }
 
 // computeDeviation computes how far the tasks of a step differ, corrected for what the fit itself takes up.
--- a/runtimes/step.go
+++ b/runtimes/step.go
@@ -9,6 +9,8 @@
 type Step struct {
 	ID    string
 	Queue string
+	// Kind names what the tasks run; tasks of one kind behave alike.
+	Kind string
 	// Declared is the run time that the caller declared for each task.
 	Declared time.Duration
 }
@@ -19,6 +21,8 @@
 	Machine string
 	// Duration is the run time of the whole task on this machine, without delays that the machine doesn't cause.
 	Duration time.Duration
+	// Beside holds the kinds of the other tasks that ran on the machine all the while.
+	Beside []string
 }
 
 // step holds the observed runs of a step. Run times are logarithms of seconds.
@@ -37,6 +41,8 @@
 	task    int32
 	machine *machine
 	runTime float64
+	// pairs are those of the step's kind and the kinds beside the run.
+	pairs []*pair
 }
 
 // newStep returns a step without runs.
@@ -56,7 +62,7 @@
 	sum, weights := 0.0, 0.0
 	for _, run := range s.runs {
 		weight := robustWeight(run.residual())
-		sum += weight * (run.runTime - run.machine.center)
+		sum += weight * (run.residual() + s.work)
 		weights += weight
 	}
 	if weights > 0 {
@@ -73,12 +79,12 @@
 	return len(machines) >= minMachines
 }
 
-// observe records a run on a machine.
-func (s *step) observe(run Run, m *machine) {
+// observe records a run on a machine beside some kinds of tasks.
+func (s *step) observe(run Run, m *machine, pairs []*pair) {
 	runTime := math.Log(run.Duration.Seconds())
 	for _, known := range s.runs {
 		if known.task == run.Task && known.machine == m {
-			known.runTime = runTime
+			known.runTime, known.pairs = runTime, pairs
 			return
 		}
 	}
@@ -90,6 +96,7 @@
 		task:    run.Task,
 		machine: m,
 		runTime: runTime,
+		pairs:   pairs,
 	}
 	s.runs = append(s.runs, added)
 	m.addSample(added)
@@ -104,7 +111,11 @@
 	s.work = median(works)
 }
 
-// residual is what the work of the step and the speed of the machine leave unexplained.
+// residual is what the work of the step, the speed of the machine and the tasks beside the run leave unexplained.
 func (r *stepRun) residual() float64 {
-	return r.runTime - r.step.work - r.machine.center
+	residual := r.runTime - r.step.work - r.machine.center
+	for _, p := range r.pairs {
+		residual -= p.center
+	}
+	return residual
 }
