cmd, dispatch: explain where a job would go now

Cause: an operator can't see why a job waits or where one would go, but by reading the scheduler's log. Change: radishpath explain asks an entry, which asks the scheduler; the planner runs its own rules on a copy of its state, with the pending units that come first, and says where each task would go, what it waits for and until when, whether it would be in time, and which executors are passed over for which reason. A pass that only looks is split from one that stops runs. Orders are logged with the slowdown of their executor and the expected run time.

--- a/cmd/config.go
+++ b/cmd/config.go
@@ -67,6 +67,7 @@
 		c.newDrainCmd(),
 		c.newUndrainCmd(),
 		c.newTopCmd(),
+		c.newExplainCmd(),
 		c.newSubmitCmd(),
 		c.newStatusCmd(),
 		c.newWaitCmd(),
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -118,6 +118,7 @@
 		Mirror:               e.mirror,
 		StateAge:             e.cellFollower.Age,
 		Report:               e.scheduler.Report,
+		Explain:              e.scheduler.Explain,
 		Leading:              e.scheduler.Leading,
 		NextOperationsOffset: e.operationsFollower.NextOffset,
 		Append:               e.cellLog.Append,
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -121,7 +121,9 @@
 	server := peer.NewServer(peer.ServerConfig{
 		Limiter: connlimit.NewUnlimited(hclog.NewNullLogger(), clockwork.NewRealClock()),
 		Handler: func(_ context.Context, read func(proto.Message) error) (proto.Message, error) {
-			return &cellpb.Reply{Operations: 1 << 40}, read(&cellpb.Request{})
+			request := &cellpb.Request{}
+			err := read(request)
+			return entryReply(request), err
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -136,6 +138,41 @@
 	return listener.Addr().String(), nil
 }
 
+// entryReply is the reply of the entry that startEntry starts. Its explanations repeat what was asked.
+func entryReply(request *cellpb.Request) *cellpb.Reply {
+	reply := &cellpb.Reply{
+		Operations: 1 << 40,
+	}
+	if explain := request.GetExplain(); explain != nil {
+		reply.Body = &cellpb.Reply_Explanation{
+			Explanation: &cellpb.Explanation{
+				Decision:    "starts",
+				Reason:      "it fits now",
+				RunMs:       2000,
+				ObjectiveMs: 3000,
+				InTime:      true,
+				Executors:   4,
+				AgeMs:       120,
+				Places: []*cellpb.Place{
+					{
+						Agent:    "agent-1",
+						Executor: "asked-" + explain.GetId() + explain.GetJob().GetQueue(),
+						Slowdown: 70,
+					},
+				},
+				Passed: []*cellpb.PassedOver{
+					{
+						Reason:    "too slow",
+						Executors: 3,
+						Agent:     "agent-2",
+					},
+				},
+			},
+		}
+	}
+	return reply
+}
+
 // fakeCallerAPI is a jobs API that returns the state named by the job id. The job with id slow ends at the second
 // request.
 type fakeCallerAPI struct {
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -9,18 +9,18 @@
 const maxIsolationWait = 1500 * time.Millisecond
 
 // clearSurvivor clears a task of earlier crashes once a run of it has lasted well beyond them.
-func (p *Planner) clearSurvivor(c *candidate, run *taskRun) {
+func (p *Planner) clearSurvivor(e *executor, run *taskRun) {
 	t := run.task
 	if t.crashes.empty() || !run.running || waitsForGang(run) {
 		return
 	}
-	before, lasted := t.crashes, c.clock()-run.startedClock
+	before, lasted := t.crashes, e.clock()-run.startedClock
 	t.crashes = before.withRunTime(lasted, p.config.RemoteSlowdown)
 	if t.crashes.empty() == before.empty() && t.crashes.suspect == before.suspect {
 		return
 	}
 	t.group.job.dirty = true
-	p.config.Log("task survived", "task", t.id.String(), "run", run.runNumber, "agent", c.agent,
+	p.config.Log("task survived", "task", t.id.String(), "run", run.runNumber, "agent", e.agent,
 		"crashes", before.blamed(), "cleared", t.crashes.empty(), "lasted", lasted.Milliseconds())
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -245,6 +245,7 @@
 	}
 	checkpoint := gangCheckpoint(u)
 	request := requestedResources(u.group.step)
+	expected := p.duration(u, chosen)
 	for i, t := range u.tasks {
 		c := chosen[i]
 		c.free = c.free.Minus(request)
@@ -267,7 +268,8 @@
 		u.group.job.history.addRun(now.BootTime)
 		p.config.Log("run ordered", "task", t.id.String(), "run", t.runNumber, "agent", c.agent, "executor", c.incarnation,
 			"config", p.operations.Config.Version, "reported", (now.BootTime - c.reportedAt).Milliseconds(),
-			"guaranteed", u.guaranteed, "slack", u.slack.Milliseconds(), "cores", int64(coreEquivalents(u.group.step)))
+			"guaranteed", u.guaranteed, "slack", u.slack.Milliseconds(), "slowdown", percent(c.slowdown),
+			"expected", expected.Milliseconds(), "cores", int64(coreEquivalents(u.group.step)))
 	}
 	u.group.job.dirty = true
 }
--- a/dispatch/preemption.go
+++ b/dispatch/preemption.go
@@ -42,17 +42,7 @@
 func (p *Planner) preempt(
 	snap *cellSnapshot, u *schedulingUnit, options [][]*candidate, maxCost float64, now Instant,
 ) bool {
-	var best *preemptionPlan
-	for _, candidates := range options {
-		plan := p.planPreemption(snap, u, candidates, now)
-		if plan == nil {
-			continue
-		}
-		// The sets are ordered by preference. A later set, on which the unit may run longer, must cost much less.
-		if best == nil || plan.cost < best.cost/p.config.RemoteSlowdown {
-			best = plan
-		}
-	}
+	best := p.cheapestPlan(snap, u, options, now)
 	if best == nil || best.cost > maxCost {
 		return false
 	}
@@ -66,6 +56,25 @@
 	return true
 }
 
+// cheapestPlan returns the preemption plan of the first option for which none of the later ones costs much less, or nil
+// if there is none.
+func (p *Planner) cheapestPlan(
+	snap *cellSnapshot, u *schedulingUnit, options [][]*candidate, now Instant,
+) *preemptionPlan {
+	var best *preemptionPlan
+	for _, candidates := range options {
+		plan := p.planPreemption(snap, u, candidates, now)
+		if plan == nil {
+			continue
+		}
+		// The sets are ordered by preference. A later set, on which the unit may run longer, must cost much less.
+		if best == nil || plan.cost < best.cost/p.config.RemoteSlowdown {
+			best = plan
+		}
+	}
+	return best
+}
+
 // maxPreemptionCost is the most that preempting for a unit may cost. Guaranteed work starts at any cost.
 func (p *Planner) maxPreemptionCost(u *schedulingUnit) float64 {
 	if u.guaranteed {
--- a/dispatch/snapshot.go
+++ b/dispatch/snapshot.go
@@ -15,6 +15,8 @@
 	*executor
 	// free holds the resources that no run occupies and that aren't reserved in this pass.
 	free cell.Capacity
+	// reservedFrom holds what was free before anything was reserved in this pass.
+	reservedFrom cell.Capacity
 	// releasing holds the resources of runs that are being stopped, expectedRelease those of runs that are assumed to
 	// have ended when the expected fit of a unit is computed.
 	releasing       cell.Capacity
@@ -105,7 +107,21 @@
 	deferrable bool
 }
 
+// newSnapshot returns the state for a planning pass, after stalled runs were stopped and surplus starts withdrawn.
 func (p *Planner) newSnapshot(now Instant) *cellSnapshot {
+	p.clearSurvivors()
+	snap := p.viewSnapshot(now)
+	p.withdrawExcessStarts(snap, now)
+	snap.noteIsolation()
+	p.checkRuns(snap, now)
+	for _, c := range snap.candidates {
+		snap.hasUnreliable = snap.hasUnreliable || c.unreliable()
+	}
+	return snap
+}
+
+// viewSnapshot returns the state of the cell without changing anything.
+func (p *Planner) viewSnapshot(now Instant) *cellSnapshot {
 	snap := &cellSnapshot{
 		now:                now.BootTime,
 		byIncarnation:      map[string]*candidate{},
@@ -139,11 +155,11 @@
 	for _, c := range snap.candidates {
 		p.subtractRuns(c)
 		p.subtractOrphans(c)
+		c.reservedFrom = c.free
 	}
-	p.withdrawExcessStarts(snap, now)
 	snap.noteIsolation()
-	p.checkRuns(snap, now)
 	for _, c := range snap.candidates {
+		c.slow = now.BootTime < c.slowUntil
 		c.failedRecently = c.health.failedRecently(now.BootTime)
 		snap.hasRecentFailures = snap.hasRecentFailures || c.failedRecently
 		snap.hasUnreliable = snap.hasUnreliable || c.unreliable()
@@ -161,6 +177,20 @@
 	snap.uneven = len(snap.slowdowns) > 1
 }
 
+// clearSurvivors clears tasks of earlier crashes whose runs have lasted well beyond them.
+func (p *Planner) clearSurvivors() {
+	for _, e := range p.executors {
+		if e.state == nil || !e.epochConfirmed {
+			continue
+		}
+		for run := range p.runsByAgent[e.agent] {
+			if run.incarnation == e.incarnation {
+				p.clearSurvivor(e, run)
+			}
+		}
+	}
+}
+
 // subtractRuns subtracts the resources of the runs that may exist on a candidate. Those being stopped still count.
 func (p *Planner) subtractRuns(c *candidate) {
 	c.idle = len(p.runsByAgent[c.agent]) == 0
@@ -170,7 +200,6 @@
 		}
 		request := requestedResources(run.task.group.step)
 		c.free = c.free.Minus(request)
-		p.clearSurvivor(c, run)
 		c.noteRun(run.task)
 		if run.stopping {
 			c.releasing = c.releasing.Plus(request)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -47,6 +47,8 @@
 	StateAge func() (time.Duration, bool)
 	// Report passes an agent's report to the scheduler in this process; false if it isn't the cell's active scheduler.
 	Report func(ctx context.Context, report *cellpb.Report) (*cellpb.Orders, bool)
+	// Explain asks the scheduler in this process what would become of a job; false if it isn't the cell's scheduler.
+	Explain func(ctx context.Context, request *cellpb.Explain) (*cellpb.Explanation, bool)
 	// Leading returns the epoch in which this process is the active scheduler, 0 if it isn't.
 	Leading func() int64
 	// NextOperationsOffset returns the offset of the next record of the operators' log that this process will apply.
@@ -85,6 +87,8 @@
 		return p.report(ctx, request, body.Report)
 	case *cellpb.Request_Append:
 		return p.append(ctx, body.Append)
+	case *cellpb.Request_Explain:
+		return p.explain(ctx, request, body.Explain)
 	case *cellpb.Request_Ask:
 		claim, _ := p.config.Mirror.Claim()
 		return &cellpb.Reply{
--- a/scheduler/term.go
+++ b/scheduler/term.go
@@ -27,6 +27,7 @@
 	appender        *appender
 	planner         *dispatch.Planner
 	incomingReports chan *pendingReport
+	explainRequests chan *explainRequest
 	appendResults   chan appendResult
 	adviceResult    chan adviceResult
 	// adviceInFlight is set while a request is in flight: the advice service takes one at a time from each machine.
@@ -85,6 +86,7 @@
 		},
 		planner:         dispatch.New(config.Dispatch, now),
 		incomingReports: make(chan *pendingReport),
+		explainRequests: make(chan *explainRequest),
 		appendResults:   make(chan appendResult, 1),
 		adviceResult:    make(chan adviceResult, 1),
 		done:            make(chan struct{}),
@@ -134,6 +136,8 @@
 		case pending := <-t.incomingReports:
 			t.acceptReport(pending)
 			t.acceptQueuedReports()
+		case request := <-t.explainRequests:
+			request.answer <- t.planner.Explain(request.request, currentInstant(t.config))
 		case result := <-t.appendResults:
 			t.appendInFlight = false
 			if result.err != nil {
--- a/standin/cluster/client.go
+++ b/standin/cluster/client.go
@@ -19,6 +19,9 @@
 	APIKey = "caller-key"
 )
 
+// ManyStepsStart is the start of a submission whose list of steps follows.
+const ManyStepsStart = `{"jobSpec":"1ms","steps":[`
+
 const (
 	callTimeout       = 3 * time.Second
 	maxSubmitAttempts = 4
--- a/untrusted/clients_test.go
+++ b/untrusted/clients_test.go
@@ -219,7 +219,10 @@
 		{
 			name:   "bodies of many steps",
 			target: callers,
-			script: script{opening: append(submission(240<<10), `{"jobSpec":"1ms","steps":[`...), repeated: []byte("{},")},
+			script: script{
+				opening:  append(submission(240<<10), cluster.ManyStepsStart...),
+				repeated: []byte("{},"),
+			},
 		},
 		{name: "silence", target: callers},
 		{name: "heads without end, jobs API", target: jobs, script: script{opening: getHead, repeated: headField}},
