--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,10 @@
 # Names of the platform's wire, which only its adapter and the stand-ins may use.
 PLATFORM := 'lastSeen|endedRuns|runningRuns|jobSpec|heartbeatAddr|remainingMs|log-(append|read|newest)|run-(start|stop)|"keyed\.(op|status|servers)|clockMs|RADISHPATH_BOOT'
 
+# Fuzz targets of what clients send, and how many inputs of each are tried.
+FUZZ := ./platform:FuzzDecodeJob ./platform:FuzzDecodeHeartbeat ./peer:FuzzReadRequest
+FUZZTIME := 20000x
+
 .PHONY: build demo test lint generate bench fmt
 
 build:
@@ -24,6 +28,8 @@
 	go test -count=1 -timeout 4m $(SKIP) $$(go list ./... | grep -v -e '/proof$$' -e '/untrusted$$')
 	go test -count=1 -timeout 8m -parallel 4 $(SKIP) ./proof
 	go test -count=1 -timeout 8m $(SKIP) ./untrusted
+	@for target in $(FUZZ); do \
+		go test -run XXX -fuzz "^$${target#*:}$$" -fuzztime $(FUZZTIME) $${target%%:*} || exit 1; done
 	bin/soak -bin bin/radishpath -seed 1 -seconds 12
 	bin/soak -bin bin/radishpath -seed 3 -seconds 12
 	bin/soak -bin bin/radishpath -seed 36 -seconds 12
--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -60,6 +60,14 @@
 	})
 }
 
+// NewConn returns a connection that counts for the limiter once it is admitted.
+func (l *Limiter) NewConn(inner net.Conn) *Conn {
+	return &Conn{
+		Conn:    inner,
+		limiter: l,
+	}
+}
+
 // Listen returns a listener whose connections count for the limiter. It goes on after errors of the inner one, such as
 // a lack of descriptors, until that is closed.
 func (l *Limiter) Listen(inner net.Listener) net.Listener {
--- a/connlimit/limiter_test.go
+++ b/connlimit/limiter_test.go
@@ -28,10 +28,7 @@
 // connect adds a connection and reports whether it was admitted.
 func connect(l *Limiter) (*Conn, bool) {
 	_, inner := net.Pipe()
-	conn := &Conn{
-		Conn:    inner,
-		limiter: l,
-	}
+	conn := l.NewConn(inner)
 	return conn, l.admit(conn)
 }
 
--- a/connlimit/listener.go
+++ b/connlimit/listener.go
@@ -33,10 +33,7 @@
 			continue
 		}
 		delay = minAcceptDelay
-		conn := &Conn{
-			Conn:    inner,
-			limiter: l.limiter,
-		}
+		conn := l.limiter.NewConn(inner)
 		if l.limiter.admit(conn) {
 			return conn, nil
 		}
--- a/peer/framing_test.go
+++ b/peer/framing_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"testing"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"radishpath.example/radishpath/cell/cellpb"
+	"radishpath.example/radishpath/connlimit"
 )
 
 // countingWriter counts the calls of Write.
@@ -38,3 +42,14 @@
 	require.NoError(t, readMessage(w, received))
 	require.Equal(t, "job", received.GetAppend().GetKey())
 }
+
+// Guards against a request of a client that nobody controls which ends the process, or reserves memory by its length.
+func FuzzReadRequest(f *testing.F) {
+	f.Add([]byte{3, 10, 1, 97})
+	f.Add(binary.AppendUvarint(nil, maxMessageBytes+1))
+	f.Add(binary.AppendUvarint(nil, maxMessageBytes))
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		limiter := connlimit.NewUnlimited(hclog.NewNullLogger(), clockwork.NewRealClock())
+		_ = readRequest(bytes.NewReader(content), limiter.NewConn(nil), &cellpb.Request{})
+	})
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -109,6 +109,8 @@
 		Agents:     config.Agents,
 		Seed:       config.Seed,
 		UseProxies: true,
+		// A third of the executors is slow, as on some deployments.
+		Slowdowns: []float64{1, 1, 2},
 		// Every other seed has executors that start whatever they are told to.
 		SkipAdmissionCheck: config.Seed%2 == 0,
 	})
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -53,6 +53,8 @@
 	SkipAdmissionCheck bool
 	// Seed determines the random values of the executors.
 	Seed uint64
+	// Slowdowns are the factors by which tasks take longer at the executors, in turn; empty means that they don't.
+	Slowdowns []float64
 	// UseProxies puts a Proxy in front of each executor and of each entry's address for callers.
 	UseProxies bool
 	// Memory is the memory limit of each process in MB, as its settings name it, and Files the number of descriptors that
@@ -241,6 +243,7 @@
 		Rack:               fmt.Sprintf("r%d", index%len(c.config.Zones)),
 		Accelerators:       acceleratorsPerExecutor,
 		MaxLease:           maxLease,
+		Slowdown:           c.slowdown(index),
 		Clock:              c.config.Clock,
 		Recorder:           c.Recorder,
 		Random:             rand.New(rand.NewPCG(c.config.Seed, uint64(index))),
@@ -270,6 +273,14 @@
 	return nil
 }
 
+// slowdown returns the slowdown of an executor.
+func (c *Cluster) slowdown(index int) float64 {
+	if len(c.config.Slowdowns) == 0 {
+		return 0
+	}
+	return c.config.Slowdowns[index%len(c.config.Slowdowns)]
+}
+
 func (c *Cluster) newProcess(
 	role string, index int, ip string, endpoint *storeserver.Endpoint, roleSettings string,
 ) (*Process, error) {
--- a/standin/executorserver/calls.go
+++ b/standin/executorserver/calls.go
@@ -130,6 +130,9 @@
 	if inUse > e.capacity.current && !e.config.SkipAdmissionCheck {
 		return rejection("room")
 	}
+	if e.config.Slowdown > 0 {
+		taskSpec.duration = time.Duration(e.config.Slowdown * float64(taskSpec.duration))
+	}
 	e.startRun(request, taskSpec, c.late)
 	if known := e.capacity.knownMaximum(e.config.Clock.Now(), c.late); inUse > known {
 		e.config.Recorder.recordExcess(request.Task, e.id, inUse, known)
--- a/standin/executorserver/executor.go
+++ b/standin/executorserver/executor.go
@@ -44,6 +44,8 @@
 	SkipAdmissionCheck bool
 	// MaxLease is the maximum lease; longer ones are shortened to it.
 	MaxLease time.Duration
+	// Slowdown is the factor by which tasks take longer than their specs say; 0 means that they don't.
+	Slowdown float64
 	Clock    clockwork.Clock
 	Recorder *Recorder
 	// Random draws the start of each incarnation's monotonic clock and the faults; nil means that the clock starts at 0
