connlimit, peer: free what a request held once it is read, and give each response its time

Found by reading. A peer's large request was charged until its session was at rest, which is as long as its call waits: after an outage the reports of a few dozen agents would have filled the budget, and the sessions of the others been closed. It is freed once it is read now. A refusal on a kept connection had the write deadline of the response before. A session may have 2048 calls instead of 256, since an entry forwards the reports of many agents over one. Explain looks executors up without adding any.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -43,6 +43,11 @@
 	return nil
 }
 
+// Free frees bytes that were held.
+func (c *Conn) Free(bytes int64) {
+	c.limiter.free(c, bytes)
+}
+
 // Hold charges the connection for bytes of a request. It reports false if they can't be held.
 func (c *Conn) Hold(bytes int64) bool {
 	return c.limiter.hold(c, bytes)
--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -114,6 +114,15 @@
 	return true
 }
 
+// free frees a part of what a connection holds.
+func (l *Limiter) free(c *Conn, bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	freed := min(bytes, c.held)
+	c.held -= freed
+	l.held -= freed
+}
+
 // release frees what a connection holds.
 func (l *Limiter) release(c *Conn) {
 	l.mu.Lock()
--- a/connlimit/limiter_test.go
+++ b/connlimit/limiter_test.go
@@ -112,6 +112,8 @@
 	require.False(t, third.Hold(60), "a request that was read whole is kept")
 	second.Rest()
 	require.True(t, third.Hold(500), "a request alone is held")
+	third.Free(400)
+	require.EqualValues(t, 100, l.held)
 	require.NoError(t, third.Close())
 	require.Zero(t, l.held)
 	require.Equal(t, 1, l.conns)
--- a/connlimit/server.go
+++ b/connlimit/server.go
@@ -80,6 +80,8 @@
 			return
 		}
 		controller := http.NewResponseController(w)
+		// The connection still has the deadline of the last response.
+		_ = controller.SetWriteDeadline(l.config.Clock.Now().Add(handleTimeout))
 		body, err := l.readBody(controller, conn, r, config)
 		if err != nil {
 			refuse(w, err)
@@ -87,7 +89,6 @@
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		conn.Serve()
-		_ = controller.SetWriteDeadline(l.config.Clock.Now().Add(handleTimeout))
 		config.Handler.ServeHTTP(w, r)
 		_ = controller.SetWriteDeadline(l.config.Clock.Now().Add(writeTimeout))
 	})
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"radishpath.example/radishpath/cell/cellpb"
@@ -318,10 +319,11 @@
 		if t.run == nil {
 			continue
 		}
+		executorID, _, _ := strings.Cut(t.run.incarnation, "/")
 		listed = append(listed, &cellpb.Place{
 			Task:     t.id.Index,
 			Agent:    t.run.agent,
-			Executor: p.executor(t.run.agent).state.GetId(),
+			Executor: executorID,
 			Slowdown: int32(percent(p.runTimes.Slowdown(t.run.agent))),
 		})
 	}
--- a/peer/framing.go
+++ b/peer/framing.go
@@ -44,7 +44,11 @@
 	if size > maxMessageBytes {
 		return fmt.Errorf("%w: %d bytes are more than %d", errLimit, size, maxMessageBytes)
 	}
-	if size > smallRequestBytes && !conn.Hold(streamBufferBytes) {
+	buffered := int64(0)
+	if size > smallRequestBytes {
+		buffered = streamBufferBytes
+	}
+	if !conn.Hold(buffered) {
 		return fmt.Errorf("%w: no room for a large one", errLimit)
 	}
 	content, err := conn.ReadAll(io.LimitReader(reader, int64(size)), maxMessageBytes, requestCost)
@@ -60,6 +64,8 @@
 	if err = proto.Unmarshal(content, message); err != nil {
 		return fmt.Errorf("decode request: %w", err)
 	}
+	// The buffers are empty now, and the call may wait for its reply for a while.
+	conn.Free(buffered + requestCost*int64(size))
 	return nil
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -27,8 +27,9 @@
 	requestTimeout = 10 * time.Second
 	// requestCost is the memory that a byte of a request takes while it is read and decoded, in bytes.
 	requestCost = 3
-	// maxSessionStreams is the number of calls that a session may have at the same time.
-	maxSessionStreams = 256
+	// maxSessionStreams is the number of calls that a session may have at the same time. An entry forwards the reports of
+	// many agents over one.
+	maxSessionStreams = 2048
 )
 
 // ServerConfig configures a Server.
