--- a/scheduler/claim_test.go
+++ b/scheduler/claim_test.go
@@ -8,7 +8,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
-	"github.com/uber-go/tally/v4"
 
 	"radishpath.example/radishpath/boottime"
 	"radishpath.example/radishpath/cell"
@@ -44,44 +43,39 @@
 	boot := boottime.Clock{
 		Now: func() time.Duration { return c.now },
 	}
-	c.Scheduler = New(Config{
-		Holder:   "candidate",
-		Cores:    cores,
-		Address:  "candidate:1",
+	config := newTestConfig("candidate", clockwork.NewFakeClock(), boot, mirror.New(mirror.Config{
 		Logger:   hclog.NewNullLogger(),
-		Clock:    clockwork.NewFakeClock(),
 		BootTime: boot,
-		Metrics:  tally.NoopScope,
-		Mirror: mirror.New(mirror.Config{
-			Logger:   hclog.NewNullLogger(),
-			BootTime: boot,
-			ApplyRecord: func(operations cell.Operations, _ cell.LogRecord) (cell.Operations, error) {
-				operations.Loaded = true
-				return operations, nil
-			},
-		}),
-		Age:        func() (time.Duration, bool) { return 0, true },
-		NextOffset: func() int64 { return c.logEnd },
-		AwaitOffset: func(context.Context, int64) error {
-			c.apply(c.unread...)
-			c.unread = nil
-			return nil
+		ApplyRecord: func(operations cell.Operations, _ cell.LogRecord) (cell.Operations, error) {
+			operations.Loaded = true
+			return operations, nil
 		},
-		HolderStopped: func(context.Context, *cellpb.Claim) bool {
-			return c.holderStopped != nil && c.holderStopped()
-		},
-		Append: func(_ context.Context, records []cell.LogRecord, _ *cell.Fence, expectedEnd int64) (int64, error) {
-			c.attempts++
-			if end := c.logEnd + int64(len(c.unread)); expectedEnd != end {
-				return 0, &cell.EndMismatchError{
-					End: end,
-				}
+	}))
+	config.Cores = cores
+	config.Age = func() (time.Duration, bool) { return 0, true }
+	config.NextOffset = func() int64 { return c.logEnd }
+	config.AwaitOffset = func(context.Context, int64) error {
+		c.apply(c.unread...)
+		c.unread = nil
+		return nil
+	}
+	config.HolderStopped = func(context.Context, *cellpb.Claim) bool {
+		return c.holderStopped != nil && c.holderStopped()
+	}
+	config.Append = func(
+		_ context.Context, records []cell.LogRecord, _ *cell.Fence, expectedEnd int64,
+	) (int64, error) {
+		c.attempts++
+		if end := c.logEnd + int64(len(c.unread)); expectedEnd != end {
+			return 0, &cell.EndMismatchError{
+				End: end,
 			}
-			c.claims++
-			c.apply(records...)
-			return expectedEnd, nil
-		},
-	})
+		}
+		c.claims++
+		c.apply(records...)
+		return expectedEnd, nil
+	}
+	c.Scheduler = New(config)
 	return c
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -83,43 +83,53 @@
 	}
 	startFollower(client.Operations(), cellMirror.ApplyOperations)
 	cellFollower := startFollower(m.topic, cellMirror.ApplyCell)
-	m.Scheduler = New(Config{
-		Holder:  name,
-		Cores:   1,
-		Address: name + ":1",
-		Logger:  hclog.NewNullLogger(),
-		Clock:   clock,
-		BootTime: boottime.Clock{
-			Now: func() time.Duration {
-				if m.Leading() > 0 && m.panicOnce.CompareAndSwap(true, false) {
-					panic("unexpected")
-				}
-				return boot.Now() + time.Duration(m.suspended.Load())
-			},
-		},
-		Metrics:    tally.NoopScope,
-		Mirror:     cellMirror,
-		Age:        cellFollower.Age,
-		NextOffset: cellFollower.NextOffset,
-		AwaitOffset: func(ctx context.Context, offset int64) error {
-			err := cellFollower.AwaitOffset(ctx, offset)
-			if m.suspendOnClaim.CompareAndSwap(true, false) {
-				m.endpoint.SetFault(storeserver.FaultUnresponsive, 0)
-				m.suspended.Add(int64(10 * time.Second))
+	config := newTestConfig(name, clock, boottime.Clock{
+		Now: func() time.Duration {
+			if m.Leading() > 0 && m.panicOnce.CompareAndSwap(true, false) {
+				panic("unexpected")
 			}
-			return err
+			return boot.Now() + time.Duration(m.suspended.Load())
 		},
+	}, cellMirror)
+	config.Age = cellFollower.Age
+	config.NextOffset = cellFollower.NextOffset
+	config.AwaitOffset = func(ctx context.Context, offset int64) error {
+		err := cellFollower.AwaitOffset(ctx, offset)
+		if m.suspendOnClaim.CompareAndSwap(true, false) {
+			m.endpoint.SetFault(storeserver.FaultUnresponsive, 0)
+			m.suspended.Add(int64(10 * time.Second))
+		}
+		return err
+	}
+	config.Append = func(
+		ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64,
+	) (int64, error) {
+		m.appends.Add(1)
+		return m.topic.Append(ctx, records, fence, expectedEnd)
+	}
+	m.Scheduler = New(config)
+	go func() { _ = m.Run(ctx) }()
+	return m
+}
+
+// newTestConfig returns the configuration of a scheduler of one core, without what connects it to a log.
+func newTestConfig(
+	holder string, clock clockwork.Clock, boot boottime.Clock, cellMirror *mirror.Mirror,
+) Config {
+	return Config{
+		Holder:        holder,
+		Cores:         1,
+		Address:       holder + ":1",
+		Logger:        hclog.NewNullLogger(),
+		Clock:         clock,
+		BootTime:      boot,
+		Metrics:       tally.NoopScope,
+		Mirror:        cellMirror,
 		HolderStopped: func(context.Context, *cellpb.Claim) bool { return false },
-		Append: func(ctx context.Context, records []cell.LogRecord, fence *cell.Fence, expectedEnd int64) (int64, error) {
-			m.appends.Add(1)
-			return m.topic.Append(ctx, records, fence, expectedEnd)
-		},
 		Dispatch: dispatch.Config{
 			LeaseDuration: 10 * time.Second,
 		},
-	})
-	go func() { _ = m.Run(ctx) }()
-	return m
+	}
 }
 
 func newReport(epoch int64, sequence uint64) *cellpb.Report {
