--- a/cmd/process.go
+++ b/cmd/process.go
@@ -54,7 +54,7 @@
 	role, short string, parse func(name string, text []byte) (settings.ProcessSettings, error),
 	run func(ctx context.Context, path string, processSettings settings.ProcessSettings) error,
 ) *cobra.Command {
-	path := ""
+	path, files := "", 0
 	cmd := &cobra.Command{
 		Use:     role,
 		Short:   short,
@@ -65,10 +65,14 @@
 			if err != nil {
 				return fmt.Errorf("%s settings: %w", role, err)
 			}
+			if files > 0 {
+				processSettings.Files = files
+			}
 			return run(cmd.Context(), path, processSettings)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", role+".ini", "INI settings file")
+	cmd.Flags().IntVar(&files, "files", 0, "descriptors that the process may open (default: the key files)")
 	return cmd
 }
 
