--- a/review/checks47/cases.go
+++ b/review/checks47/cases.go
@@ -28,6 +28,7 @@
 func cases() map[int]plannedCase {
 	return map[int]plannedCase{
 		6: heartbeatsWithoutBirth(),
+		7: cancelledAtAnEntryCutFromTheStore(),
 	}
 }
 
