--- a/review/checks47/cases.go
+++ b/review/checks47/cases.go
@@ -29,6 +29,7 @@
 	return map[int]plannedCase{
 		6: heartbeatsWithoutBirth(),
 		7: cancelledAtAnEntryCutFromTheStore(),
+		8: guaranteeBesideLastingWork(),
 	}
 }
 
