--- a/review/checks47/cases.go
+++ b/review/checks47/cases.go
@@ -30,6 +30,7 @@
 		6: heartbeatsWithoutBirth(),
 		7: cancelledAtAnEntryCutFromTheStore(),
 		8: guaranteeBesideLastingWork(),
+		9: smallJobsBehindLargeOnes(),
 	}
 }
 
