--- a/review/checks47/case10.go
+++ b/review/checks47/case10.go
@@ -1,51 +1,84 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
 	"time"
+
+	"radishpath.example/radishpath/standin/storeserver"
 )
 
-// drainTime is how long an executor drains before it leaves.
-const drainTime = 3 * time.Second
+// silenceBeforeSubmit is how long the store has left an entry unanswered when a caller hands a job in there.
+const silenceBeforeSubmit = 3200 * time.Millisecond
 
-// gangWiderThanEachRack: the tasks of a gang are faster in one rack, and one rack is wide enough. An executor of it is
-// lost for good. Then the gang is handed in, while all other executors are idle.
-func gangWiderThanEachRack() plannedCase {
+// refusedByTheJobsInterface: the store stops answering one entry. A caller of the project's own interface hands a job in
+// there. The entry says that the job wasn't accepted and is not run.
+func refusedByTheJobsInterface() plannedCase {
 	return plannedCase{
 		deployment: deploymentConfig{
 			entries:      3,
-			racks:        []string{"r1", "r1", "r1", "r2", "r2", "r3", "r3", "r4", "r4"},
+			racks:        []string{"r1", "r1", "r2"},
 			accelerators: 8,
 			maxLease:     maxLeaseShort,
+			jobs:         true,
 		},
 		play: func(ctx context.Context, d *deployment, trouble bool) (string, error) {
-			c := d.newCaller(weddingsKey)
+			entry, err := d.otherThanScheduler()
+			if err != nil {
+				return "", err
+			}
 			if trouble {
-				if err := d.takeAway(ctx, d.executors[0]); err != nil {
-					return "", err
-				}
+				d.record.line("the store leaves the calls of %s unanswered", d.entries[entry].name)
+				d.entries[entry].endpoint.SetFault(storeserver.FaultUnresponsive, 0)
+			}
+			if err = d.sleep(ctx, silenceBeforeSubmit); err != nil {
+				return "", err
 			}
-			const id = "0000000000000091"
-			if err := c.submit(ctx, 0, costingPrefix+id, "10/job.json"); err != nil {
+			const id = "00000000000000d7"
+			status, err := d.submitToJobs(ctx, entry)
+			if err != nil {
 				return "", err
 			}
-			if err := d.awaitStart(ctx, taskName(id, 0), finishTime+idleTime); err == nil {
-				return "", nil
+			d.entries[entry].endpoint.SetFault(storeserver.FaultNone, 0)
+			started := d.awaitStart(ctx, taskName(id, 0), 10*time.Second) == nil
+			if status == http.StatusServiceUnavailable && started {
+				return "the only attempt to hand the job in was rejected with 503, and its task was started", nil
 			}
-			started := d.awaitStart(ctx, taskName(id, 0), startWatch) == nil
-			d.record.line("started within %s more: %t", startWatch, started)
-			_, err := c.state(ctx, costingPrefix+id)
-			return fmt.Sprintf("%s hasn't begun %s after the end of the traffic, with all of 64 accelerators idle", id,
-				finishTime+idleTime), err
+			return "", nil
 		},
 	}
 }
 
-// takeAway lets an executor without runs drain, announce its end and leave for good, and waits until that is past.
-func (d *deployment) takeAway(ctx context.Context, h *executorHost) error {
-	d.record.line("%s drains and leaves for good", h.id)
-	h.Leave(drainTime, 0, time.Hour)
-	h.close()
-	return d.sleep(ctx, 2*contactTime)
+// submitToJobs hands the job of the case in at the project's own interface of an entry and returns the status.
+func (d *deployment) submitToJobs(ctx context.Context, entry int) (int, error) {
+	body, err := os.ReadFile(filepath.Join(d.root, "review", "10", "job.json"))
+	if err != nil {
+		return 0, fmt.Errorf("job: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	url := "http://" + d.entries[entry].jobsAddress + "/v1/jobs"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, fmt.Errorf("submit: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Authorization", "Bearer "+weddingsKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, fmt.Errorf("submit: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, fmt.Errorf("submit: %w", err)
+	}
+	d.record.line("%s POST /v1/jobs -> status %d, Retry-After %q, %s", d.entries[entry].name, response.StatusCode,
+		response.Header.Get("Retry-After"), bytes.TrimSpace(text))
+	return response.StatusCode, nil
 }
--- a/review/checks47/cases.go
+++ b/review/checks47/cases.go
@@ -27,10 +27,11 @@
 // cases returns the cases by number.
 func cases() map[int]plannedCase {
 	return map[int]plannedCase{
-		6: heartbeatsWithoutBirth(),
-		7: cancelledAtAnEntryCutFromTheStore(),
-		8: guaranteeBesideLastingWork(),
-		9: smallJobsBehindLargeOnes(),
+		6:  heartbeatsWithoutBirth(),
+		7:  cancelledAtAnEntryCutFromTheStore(),
+		8:  guaranteeBesideLastingWork(),
+		9:  smallJobsBehindLargeOnes(),
+		10: refusedByTheJobsInterface(),
 	}
 }
 
--- a/review/checks47/deployment.go
+++ b/review/checks47/deployment.go
@@ -35,6 +35,8 @@
 	accelerators int64
 	// maxLease is the longest lease that executors grant.
 	maxLease time.Duration
+	// jobs adds the address of the project's own interface for callers to the settings of the entries.
+	jobs bool
 }
 
 // deployment is a running deployment.
@@ -144,6 +146,12 @@
 	p.endpoint = endpoint
 	p.callerAddress = values["listen.front"]
 	p.readyAddress = values["listen.ready"]
+	if d.jobs {
+		p.jobsAddress = fmt.Sprintf("%s:%d", ip, d.port+5)
+		if err = p.addSetting("jobs = " + p.jobsAddress); err != nil {
+			return err
+		}
+	}
 	d.entries = append(d.entries, p)
 	return nil
 }
--- a/review/checks47/process.go
+++ b/review/checks47/process.go
@@ -67,10 +67,11 @@
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
 	return &process{
-		name:    name,
-		root:    root,
-		args:    strings.Fields(strings.ReplaceAll(render(r.run, values), settingsPath, path)),
-		logPath: filepath.Join(directory, name+".log"),
+		name:     name,
+		root:     root,
+		args:     strings.Fields(strings.ReplaceAll(render(r.run, values), settingsPath, path)),
+		logPath:  filepath.Join(directory, name+".log"),
+		settings: path,
 	}, nil
 }
 
@@ -80,12 +81,16 @@
 	root    string
 	args    []string
 	logPath string
+	// settings is the path of the settings file.
+	settings string
 	// endpoint is the handler through which an entry reaches the store; nil for an agent.
 	endpoint      *storeserver.Endpoint
 	callerAddress string
 	readyAddress  string
-	cmd           *exec.Cmd
-	exited        chan struct{}
+	// jobsAddress is the address of the project's own interface for callers; empty if it isn't served.
+	jobsAddress string
+	cmd         *exec.Cmd
+	exited      chan struct{}
 }
 
 // start starts the process. The kernel kills it when this program dies.
@@ -115,6 +120,18 @@
 	return nil
 }
 
+// addSetting adds a line to the settings of a process that isn't started yet.
+func (p *process) addSetting(line string) error {
+	text, err := os.ReadFile(p.settings)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	if err = os.WriteFile(p.settings, append(text, []byte("\n"+line+"\n")...), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return nil
+}
+
 // shownArgs returns the command line without the temporary directory.
 func (p *process) shownArgs() []string {
 	shown := make([]string, 0, len(p.args))
