--- a/review/checks47/case10.go
+++ b/review/checks47/case10.go
@@ -16,8 +16,8 @@
 // silenceBeforeSubmit is how long the store has left an entry unanswered when a caller hands a job in there.
 const silenceBeforeSubmit = 3200 * time.Millisecond
 
-// refusedByTheJobsInterface: the store stops answering one entry. A caller of the project's own interface hands a job in
-// there. The entry says that the job wasn't accepted and is not run.
+// refusedByTheJobsInterface: the store stops answering one entry. A caller of the project's own interface hands a job
+// in there. The entry says that the job wasn't accepted and is not run.
 func refusedByTheJobsInterface() plannedCase {
 	return plannedCase{
 		deployment: deploymentConfig{
