--- a/review/checks47/case6.go
+++ b/review/checks47/case6.go
@@ -1,26 +1,25 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"net/http"
-	"os"
-	"path/filepath"
+	"strings"
 	"time"
 )
 
 const (
-	// oddHeartbeats is the number of heartbeats of another writer, oddInterval the time between them.
-	oddHeartbeats = 3
-	oddInterval   = 3 * time.Second
-	// oddJobTime is the time within which the job, whose task takes 20 s, is completed.
-	oddJobTime = 45 * time.Second
+	// finishTime is the time after the end of the traffic from which a job with room must not wait.
+	finishTime = 14 * time.Second
+	// idleTime is how long a job may have nothing running although there is room for it.
+	idleTime = 3 * time.Second
+	// laterTime is how long the jobs are watched after that, for the record.
+	laterTime = 20 * time.Second
+	smallJobs = 4
 )
 
-// heartbeatsWithoutBirth: a job with one task runs. Another writer sends heartbeats that name the executor on which it
-// runs and lack a field. The executor itself is sound, and its own heartbeats go on.
-func heartbeatsWithoutBirth() plannedCase {
+// manyStartsAtOneExecutor: a job with many small tasks, whose description is as long as the platform allows, is handed
+// in to an idle cell. Small jobs of another tenant follow.
+func manyStartsAtOneExecutor() plannedCase {
 	return plannedCase{
 		deployment: deploymentConfig{
 			entries:      3,
@@ -29,61 +28,60 @@
 			maxLease:     maxLeaseShort,
 		},
 		play: func(ctx context.Context, d *deployment, trouble bool) (string, error) {
+			const large = "00000000000000b1"
 			c := d.newCaller(weddingsKey)
-			const id = "00000000000000e5"
-			if err := c.submit(ctx, 0, costingPrefix+id, "6/job.json"); err != nil {
-				return "", err
+			if trouble {
+				if err := c.submit(ctx, 0, batchPrefix+large, "6/job.json"); err != nil {
+					return "", err
+				}
 			}
-			if err := d.awaitRun(ctx, taskName(id, 0), readyTimeout); err != nil {
+			if err := d.sleep(ctx, contactTime); err != nil {
 				return "", err
 			}
-			for range oddHeartbeats {
-				if err := d.sleep(ctx, oddInterval); err != nil {
-					return "", err
-				}
-				if !trouble {
-					continue
-				}
-				if err := d.sendOddHeartbeat(ctx, d.recorder.RunningOn(taskName(id, 0))); err != nil {
+			other := d.newCaller(hotelsKey)
+			for i := range smallJobs {
+				if err := other.submit(ctx, 0, batchPrefix+smallJobID(i), "6/small.json"); err != nil {
 					return "", err
 				}
 			}
-			state := ""
-			err := d.await(ctx, oddJobTime, "the job has ended", func() bool {
-				state, _ = c.state(ctx, costingPrefix+id)
-				return state == "completed" || state == "failed"
-			})
-			if state == "failed" {
-				return "the job, none of whose runs has ended failed, is shown as failed", nil
+			d.record.line("the traffic ends")
+			if err := d.sleep(ctx, finishTime+idleTime); err != nil {
+				return "", err
 			}
-			return "", err
+			waiting := d.waitingJobs(large, trouble)
+			if len(waiting) == 0 {
+				return "", nil
+			}
+			if err := d.sleep(ctx, laterTime); err != nil {
+				return "", err
+			}
+			d.record.line("still waiting %s later: %v", laterTime, d.waitingJobs(large, trouble))
+			_, err := c.state(ctx, batchPrefix+large)
+			return fmt.Sprintf("%v haven't begun %s after the end of the traffic, on idle executors", waiting,
+				finishTime+idleTime), err
 		},
 	}
 }
 
-// sendOddHeartbeat sends the heartbeat of another writer for an executor; empty means the first one.
-func (d *deployment) sendOddHeartbeat(ctx context.Context, executorID string) error {
-	body, err := os.ReadFile(filepath.Join(d.root, "review", "6", "heartbeat.json"))
-	if err != nil {
-		return fmt.Errorf("heartbeat: %w", err)
+// waitingJobs returns the ids of the jobs of which no task was started.
+func (d *deployment) waitingJobs(large string, trouble bool) []string {
+	begun := map[string]int{}
+	for _, start := range d.recorder.StartsSince(time.Time{}) {
+		id, _, _ := strings.Cut(start.Task, ".")
+		begun[id]++
 	}
-	index := 0
-	for i, h := range d.executors {
-		if h.id == executorID {
-			index = i
+	var waiting []string
+	for i := range smallJobs {
+		if begun[smallJobID(i)] == 0 {
+			waiting = append(waiting, smallJobID(i))
 		}
 	}
-	url := fmt.Sprintf("http://%s/v1/instances/%s", d.controls[index], d.executors[index].id)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("heartbeat: %w", err)
+	if trouble && begun[large] == 0 {
+		waiting = append(waiting, large)
 	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return fmt.Errorf("heartbeat: %w", err)
-	}
-	_ = response.Body.Close()
-	d.record.line("another writer: PUT /v1/instances/%s -> status %d", d.executors[index].id, response.StatusCode)
-	return nil
+	return waiting
+}
+
+func smallJobID(index int) string {
+	return fmt.Sprintf("00000000000000a%d", index)
 }
--- a/review/checks47/case7.go
+++ b/review/checks47/case7.go
@@ -1,24 +1,26 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
-
-	"radishpath.example/radishpath/standin/storeserver"
 )
 
 const (
-	// silenceTime is how long the store leaves the calls of one entry unanswered.
-	silenceTime = 2 * time.Second
-	// watchTime is how long the executors are watched after the cancellation. The room is taken for 8 s.
-	watchTime = 14 * time.Second
+	// oddHeartbeats is the number of heartbeats of another writer, oddInterval the time between them.
+	oddHeartbeats = 3
+	oddInterval   = 3 * time.Second
+	// oddJobTime is the time within which the job, whose task takes 20 s, is completed.
+	oddJobTime = 45 * time.Second
 )
 
-// cancelledAtAnEntryCutFromTheStore: all executors are busy. The store stops answering one entry. A caller hands a job
-// in there, which is accepted with the help of another entry, and cancels it over the same connection.
-func cancelledAtAnEntryCutFromTheStore() plannedCase {
+// heartbeatsWithoutBirth: a job with one task runs. Another writer sends heartbeats that name the executor on which it
+// runs and lack a field. The executor itself is sound, and its own heartbeats go on.
+func heartbeatsWithoutBirth() plannedCase {
 	return plannedCase{
 		deployment: deploymentConfig{
 			entries:      3,
@@ -28,84 +30,60 @@
 		},
 		play: func(ctx context.Context, d *deployment, trouble bool) (string, error) {
 			c := d.newCaller(weddingsKey)
-			if err := d.fillExecutors(ctx, c); err != nil {
-				return "", err
-			}
-			entry, err := d.otherThanScheduler()
-			if err != nil {
+			const id = "00000000000000e5"
+			if err := c.submit(ctx, 0, costingPrefix+id, "7/job.json"); err != nil {
 				return "", err
 			}
-			if trouble {
-				d.silenceStore(ctx, entry)
-			}
-			const id = "00000000000000c1"
-			if err = c.submit(ctx, entry, batchPrefix+id, "7/job.json"); err != nil {
+			if err := d.awaitRun(ctx, taskName(id, 0), readyTimeout); err != nil {
 				return "", err
 			}
-			cancelledAt, err := c.cancel(ctx, entry, batchPrefix+id)
-			if err != nil {
-				return "", err
+			for range oddHeartbeats {
+				if err := d.sleep(ctx, oddInterval); err != nil {
+					return "", err
+				}
+				if !trouble {
+					continue
+				}
+				if err := d.sendOddHeartbeat(ctx, d.recorder.RunningOn(taskName(id, 0))); err != nil {
+					return "", err
+				}
 			}
-			if err = d.sleep(ctx, watchTime); err != nil {
-				return "", err
+			state := ""
+			err := d.await(ctx, oddJobTime, "the job has ended", func() bool {
+				state, _ = c.state(ctx, costingPrefix+id)
+				return state == "completed" || state == "failed"
+			})
+			if state == "failed" {
+				return "the job, none of whose runs has ended failed, is shown as failed", nil
 			}
-			if _, err = c.state(ctx, batchPrefix+id); err != nil {
-				return "", err
-			}
-			return d.startAfter(taskName(id, 0), cancelledAt.Add(cancelTime)), nil
+			return "", err
 		},
 	}
 }
 
-// fillExecutors hands in a job for each executor that takes all of its room, and waits until they run.
-func (d *deployment) fillExecutors(ctx context.Context, c *caller) error {
-	for i := range d.executors {
-		id := fmt.Sprintf("00000000000000b%d", i)
-		if err := c.submit(ctx, 0, batchPrefix+id, "7/filler.json"); err != nil {
-			return err
-		}
-		err := d.await(ctx, readyTimeout, id+" runs", func() bool {
-			return d.recorder.RunningOn(taskName(id, 0)) != ""
-		})
-		if err != nil {
-			return err
-		}
+// sendOddHeartbeat sends the heartbeat of another writer for an executor; empty means the first one.
+func (d *deployment) sendOddHeartbeat(ctx context.Context, executorID string) error {
+	body, err := os.ReadFile(filepath.Join(d.root, "review", "7", "heartbeat.json"))
+	if err != nil {
+		return fmt.Errorf("heartbeat: %w", err)
 	}
-	return nil
-}
-
-// silenceStore lets the store leave the calls of an entry unanswered for silenceTime.
-func (d *deployment) silenceStore(ctx context.Context, entry int) {
-	d.record.line("the store leaves the calls of %s unanswered", d.entries[entry].name)
-	d.entries[entry].endpoint.SetFault(storeserver.FaultUnresponsive, 0)
-	go func() {
-		// The case is over if the wait fails.
-		_ = d.sleep(ctx, silenceTime)
-		d.entries[entry].endpoint.SetFault(storeserver.FaultNone, 0)
-		d.record.line("the store answers %s again", d.entries[entry].name)
-	}()
-}
-
-// cancel cancels a job, at one entry after the other until one answers with 2xx or 410, and returns when it did.
-func (c *caller) cancel(ctx context.Context, entry int, path string) (time.Time, error) {
-	for attempt := range 20 {
-		result := c.call(ctx, (entry+attempt)%len(c.d.entries), http.MethodDelete, path, nil)
-		if result.status/100 == 2 || result.status == http.StatusGone {
-			return c.d.clock.Now(), nil
-		}
-		if err := c.d.sleep(ctx, 300*time.Millisecond); err != nil {
-			return time.Time{}, err
+	index := 0
+	for i, h := range d.executors {
+		if h.id == executorID {
+			index = i
 		}
 	}
-	return time.Time{}, fmt.Errorf("%s was not cancelled", path)
-}
-
-// startAfter describes a start of a task after a time; empty if there is none.
-func (d *deployment) startAfter(task string, limit time.Time) string {
-	for _, start := range d.recorder.StartsSince(limit) {
-		if start.Task == task {
-			return fmt.Sprintf("%s was started %.3f s after the limit", start, start.At.Sub(limit).Seconds())
-		}
+	url := fmt.Sprintf("http://%s/v1/instances/%s", d.controls[index], d.executors[index].id)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("heartbeat: %w", err)
 	}
-	return ""
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("heartbeat: %w", err)
+	}
+	_ = response.Body.Close()
+	d.record.line("another writer: PUT /v1/instances/%s -> status %d", d.executors[index].id, response.StatusCode)
+	return nil
 }
--- a/review/checks47/cases.go
+++ b/review/checks47/cases.go
@@ -27,10 +27,10 @@
 // cases returns the cases by number.
 func cases() map[int]plannedCase {
 	return map[int]plannedCase{
-		6:  heartbeatsWithoutBirth(),
-		7:  cancelledAtAnEntryCutFromTheStore(),
-		8:  guaranteeBesideLastingWork(),
-		9:  smallJobsBehindLargeOnes(),
+		6:  manyStartsAtOneExecutor(),
+		7:  heartbeatsWithoutBirth(),
+		8:  cancelledAtAnEntryCutFromTheStore(),
+		9:  guaranteeBesideLastingWork(),
 		10: refusedByTheJobsInterface(),
 	}
 }
