--- a/review/cases3/calls.go
+++ b/review/cases3/calls.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -17,9 +19,11 @@
 
 // job is a job to submit.
 type job struct {
-	id    string
-	spec  string
-	steps []step
+	id string
+	// prefix is the path prefix of the queue; empty means that of the default queue.
+	prefix string
+	spec   string
+	steps  []step
 }
 
 // step is a step of a job. It depends on the one before.
@@ -27,8 +31,8 @@
 	tasks        int
 	accelerators int
 	estimate     time.Duration
-	// label is a label that the executor must have; empty means none.
-	label string
+	// options are further fields of the step.
+	options map[string]any
 }
 
 // submit submits a job at an entry and returns the status of the response; 0 if there is none.
@@ -42,9 +46,7 @@
 			"gpu":        s.accelerators,
 			"estimateMs": max(s.estimate.Milliseconds(), 500),
 		}
-		if s.label != "" {
-			wireStep["requiredLabel"] = s.label
-		}
+		maps.Copy(wireStep, s.options)
 		if i > 0 {
 			wireStep["dependsOn"] = []int{i - 1}
 		}
@@ -57,19 +59,19 @@
 	if err != nil {
 		return 0
 	}
-	status, _ := d.call(ctx, http.MethodPost, entry, submitted.id, body)
-	return status
-}
-
-// cancel cancels a job at an entry and returns the status of the response; 0 if there is none.
-func (d *deployment) cancel(ctx context.Context, entry int, id string) int {
-	status, _ := d.call(ctx, http.MethodDelete, entry, id, nil)
+	path := cmp.Or(submitted.prefix, cluster.Prefix) + submitted.id
+	status, _ := d.callAt(ctx, http.MethodPost, entry, path, cluster.APIKey, body)
 	return status
 }
 
 // state returns the state of a job according to an entry, or the status of the response.
 func (d *deployment) state(ctx context.Context, entry int, id string) string {
-	status, body := d.call(ctx, http.MethodGet, entry, id, nil)
+	return d.stateAt(ctx, entry, cluster.Prefix+id)
+}
+
+// stateAt returns the state of the job at a path according to an entry, or the status of the response.
+func (d *deployment) stateAt(ctx context.Context, entry int, path string) string {
+	status, body := d.callAt(ctx, http.MethodGet, entry, path, cluster.APIKey, nil)
 	response := struct {
 		State string `json:"state"`
 	}{}
@@ -79,12 +81,7 @@
 	return response.State
 }
 
-// call makes a call as the platform's clients do and records it.
-func (d *deployment) call(ctx context.Context, method string, entry int, id string, body []byte) (int, []byte) {
-	return d.callAt(ctx, method, entry, cluster.Prefix+id, cluster.APIKey, body)
-}
-
-// callAt makes a call at a path, with a key if it isn't empty.
+// callAt makes a call at a path as the platform's clients do, with a key if it isn't empty, and records it.
 func (d *deployment) callAt(
 	ctx context.Context, method string, entry int, path, key string, body []byte,
 ) (int, []byte) {
--- a/review/cases3/deployment.go
+++ b/review/cases3/deployment.go
@@ -53,8 +53,6 @@
 	directory string
 	wire      map[string]string
 	store     *storeserver.Server
-	// endpoints are the entries' ways to the store.
-	endpoints []*storeserver.Endpoint
 	recorder  *executorserver.Recorder
 	workers   []*worker
 	// callers are the addresses of the entries for callers.
@@ -145,12 +143,10 @@
 }
 
 func (d *deployment) startEntry(index int) error {
-	endpoint := d.store.Endpoint()
-	d.endpoints = append(d.endpoints, endpoint)
 	values := d.values("front", index, index+1)
 	values["listen.front"] = d.address(index+1, callerPort)
 	values["listen.ready"] = d.address(index+1, readyPort)
-	values["platform.address"] = d.serve(endpoint)
+	values["platform.address"] = d.serve(d.store.Endpoint())
 	values["limits.memoryMb"], values["limits.cpuShare"] = "284", "0.4"
 	d.callers = append(d.callers, values["listen.front"])
 	d.ready = append(d.ready, values["listen.ready"])
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -77,10 +77,10 @@
 
 func cases() map[string]caseFunc {
 	return map[string]caseFunc{
-		"cancel":     playCancel,
-		"drain":      playDrain,
-		"foreign":    playForeign,
-		"heartbeats": playHeartbeats,
-		"memory":     playMemory,
+		"drain":   playDrain,
+		"foreign": playForeign,
+		"memory":  playMemory,
+		"rack":    playRack,
+		"reserve": playReserve,
 	}
 }
--- a/review/cases3/worker.go
+++ b/review/cases3/worker.go
@@ -20,8 +20,6 @@
 	link     *link
 	client   *http.Client
 	mu       sync.Mutex
-	// last is the body of the newest heartbeat.
-	last map[string]any
 	// change changes a heartbeat before it is sent; nil means none.
 	change func(heartbeat map[string]any)
 }
@@ -40,7 +38,6 @@
 	if w.change != nil {
 		w.change(heartbeat)
 	}
-	w.last = heartbeat
 	w.mu.Unlock()
 	response.WriteHeader(w.send(request.Context(), request.URL.Path, heartbeat))
 }
@@ -52,20 +49,6 @@
 	w.change = change
 }
 
-// sendOdd sends the newest heartbeat once more as another writer would, without some of its fields.
-func (w *worker) sendOdd(ctx context.Context, missing ...string) int {
-	w.mu.Lock()
-	odd := map[string]any{}
-	for field, value := range w.last {
-		odd[field] = value
-	}
-	w.mu.Unlock()
-	for _, field := range missing {
-		delete(odd, field)
-	}
-	return w.send(ctx, "/v1/instances/"+w.id, odd)
-}
-
 // send sends a heartbeat to the agent and returns the status of its response, 502 if there is none.
 func (w *worker) send(ctx context.Context, path string, heartbeat map[string]any) int {
 	body, err := json.Marshal(heartbeat)
