standin: executors stay as long as they say, and proxies refuse connections

A draining executor of the stand-in always said that it stays 10 s more, also when it left after one. Drain takes the time and counts it down. No existing fault is drawn differently.

--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -85,8 +85,10 @@
 	// ControlAddresses are the agents' addresses for heartbeats.
 	ControlAddresses []string
 	Proxies          []*Proxy
-	cancel           context.CancelFunc
-	servers          []*httptest.Server
+	// ExecutorProxies are those of the Proxies that are in front of the executors, in the order of these.
+	ExecutorProxies []*Proxy
+	cancel          context.CancelFunc
+	servers         []*httptest.Server
 	// generation counts the replacements of all entries.
 	generation int
 }
@@ -225,9 +227,11 @@
 	c.Entries = append(c.Entries, p)
 	callerAddress := portAddress(callerPortOffset)
 	if c.config.UseProxies {
-		if callerAddress, err = c.proxy(callerAddress); err != nil {
-			return err
+		proxy, proxyErr := c.addProxy(callerAddress)
+		if proxyErr != nil {
+			return proxyErr
 		}
+		callerAddress = proxy.Address()
 	}
 	c.CallerAddresses = append(c.CallerAddresses, callerAddress)
 	c.JobsAddresses = append(c.JobsAddresses, portAddress(jobsPortOffset))
@@ -251,11 +255,12 @@
 	})
 	address := c.serveHTTP(executor)
 	if c.config.UseProxies {
-		proxied, err := c.proxy(address)
+		proxy, err := c.addProxy(address)
 		if err != nil {
 			return err
 		}
-		address = proxied
+		c.ExecutorProxies = append(c.ExecutorProxies, proxy)
+		address = proxy.Address()
 	}
 	controlAddress := fmt.Sprintf("%s:%d", ip, c.basePort+callerPortOffset)
 	c.ControlAddresses = append(c.ControlAddresses, controlAddress)
@@ -306,13 +311,13 @@
 	}, nil
 }
 
-func (c *Cluster) proxy(target string) (string, error) {
+func (c *Cluster) addProxy(target string) (*Proxy, error) {
 	proxy, err := NewProxy(c.config.Clock, target)
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	c.Proxies = append(c.Proxies, proxy)
-	return proxy.Address(), nil
+	return proxy, nil
 }
 
 func (c *Cluster) serveHTTP(handler http.Handler) string {
--- a/standin/cluster/proxy.go
+++ b/standin/cluster/proxy.go
@@ -40,43 +40,84 @@
 // Proxy forwards TCP connections to one address and injects faults. Once a fault has dropped data on a connection, the
 // proxy drops all further data in that direction, even after the fault has ended, so that the stream never has gaps.
 type Proxy struct {
-	clock      clockwork.Clock
+	clock   clockwork.Clock
+	address string
+	target  string
+	mu      sync.Mutex
+	fault   Fault
+	// listener is nil while connections are refused.
 	listener   net.Listener
-	target     string
-	mu         sync.Mutex
-	fault      Fault
 	conns      map[net.Conn]bool
 	goroutines sync.WaitGroup
 }
 
 // NewProxy starts a proxy that forwards connections from a free loopback port to the target address.
 func NewProxy(clock clockwork.Clock, target string) (*Proxy, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("proxy to %s: %w", target, err)
-	}
 	p := &Proxy{
-		clock:    clock,
-		listener: listener,
-		target:   target,
-		conns:    map[net.Conn]bool{},
+		clock:  clock,
+		target: target,
+		conns:  map[net.Conn]bool{},
+	}
+	if err := p.listen("127.0.0.1:0"); err != nil {
+		return nil, err
 	}
-	p.goroutines.Go(p.acceptConns)
+	p.address = p.listener.Addr().String()
 	return p, nil
 }
 
+// listen starts to accept connections at an address.
+func (p *Proxy) listen(address string) error {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return fmt.Errorf("proxy to %s: %w", p.target, err)
+	}
+	p.mu.Lock()
+	p.listener = listener
+	p.mu.Unlock()
+	p.goroutines.Go(func() { p.acceptConns(listener) })
+	return nil
+}
+
+// closeListener refuses connections from now on.
+func (p *Proxy) closeListener() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
+
 // Address returns the address on which the proxy listens.
 func (p *Proxy) Address() string {
-	return p.listener.Addr().String()
+	return p.address
 }
 
 // Close closes the listener and all connections, and waits until their goroutines have returned.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.closeListener()
 	p.closeConns(false)
 	p.goroutines.Wait()
 }
 
+// Refuse closes open connections and refuses new ones until Resume, as if nothing listened at the address.
+func (p *Proxy) Refuse() {
+	p.closeListener()
+	p.closeConns(false)
+}
+
+// Resume ends all faults and accepts connections again. It fails if another process uses the address by now.
+func (p *Proxy) Resume() error {
+	p.SetFault(FaultNone)
+	p.mu.Lock()
+	refuses := p.listener == nil
+	p.mu.Unlock()
+	if !refuses {
+		return nil
+	}
+	return p.listen(p.address)
+}
+
 // SetFault sets the fault of open and new connections.
 func (p *Proxy) SetFault(fault Fault) {
 	p.mu.Lock()
@@ -87,9 +128,9 @@
 	}
 }
 
-func (p *Proxy) acceptConns() {
+func (p *Proxy) acceptConns(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/standin/executorserver/heartbeats.go
+++ b/standin/executorserver/heartbeats.go
@@ -11,8 +11,8 @@
 const (
 	heartbeatInterval = 500 * time.Millisecond
 	heartbeatTimeout  = time.Second
-	// drainRemaining is the remaining time that heartbeats report.
-	drainRemaining = 10 * time.Second
+	// defaultDrain is how long a draining executor says that it stays if nothing else is said.
+	defaultDrain = 10 * time.Second
 )
 
 // SendHeartbeats sends heartbeats to an agent until ctx ends.
@@ -47,7 +47,7 @@
 // a delay, and ends. After the downtime, it starts again under its id. An executor that ends in the meantime doesn't
 // leave.
 func (e *Executor) Leave(drain, messageDelay, downtime time.Duration) {
-	e.SetDraining(true)
+	e.Drain(drain)
 	e.mu.Lock()
 	leaving := e.incarnation
 	e.mu.Unlock()
@@ -67,9 +67,27 @@
 
 // SetDraining sets whether heartbeats report the executor as draining.
 func (e *Executor) SetDraining(draining bool) {
+	if draining {
+		e.Drain(defaultDrain)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = false
+}
+
+// Drain makes heartbeats report the executor as draining, and as staying for the given time at least. It goes on
+// serving until it is ended.
+func (e *Executor) Drain(stay time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.draining = draining
+	e.draining = true
+	e.staysUntil = e.config.Clock.Now().Add(stay)
+}
+
+// remaining returns the least time for which a draining executor says that it stays.
+func (e *Executor) remaining() time.Duration {
+	return max(e.staysUntil.Sub(e.config.Clock.Now()), 0)
 }
 
 // nextHeartbeat returns the next heartbeat; false while the executor is down.
@@ -87,7 +105,7 @@
 	body := fmt.Sprintf(`{"service":%q,"address":"","zone":%q,"version":"v1","slots":8,"state":%q,"coldLeftMs":0,`+
 		`"capacity":{"cpu":64000,"memMb":64000,"gpu":%d},"labels":["a",%q],"clockMs":%d,"born":%d,"seq":%d,`+
 		`"remainingMs":%d}`, e.config.Service, e.config.Zone, state, e.capacity.current, e.config.Rack,
-		e.monotonicClock().Milliseconds(), e.bornMs(), e.heartbeatSeq, drainRemaining.Milliseconds())
+		e.monotonicClock().Milliseconds(), e.bornMs(), e.heartbeatSeq, e.remaining().Milliseconds())
 	return message{
 		method: http.MethodPut,
 		id:     e.id,
--- a/standin/executorserver/incarnation.go
+++ b/standin/executorserver/incarnation.go
@@ -17,6 +17,8 @@
 	leaseEnd time.Duration
 	// draining is set while the executor announces that it will leave.
 	draining bool
+	// staysUntil is the end of the time for which a draining executor says that it stays at least.
+	staysUntil time.Time
 	// highestRuns is the highest run number of each task that was started or stopped on this executor.
 	highestRuns map[string]int32
 	running     map[runKey]*task
