agent: log on what evidence an executor counts as ended

The agent reported an executor as gone without a line of its own, and the scheduler's line only says "executor ended": a notice, a successor at its address and a refused connection after the announced time looked alike. One function names the evidence now. Nothing is decided differently.

--- a/agent/holds.go
+++ b/agent/holds.go
@@ -177,8 +177,7 @@
 	current.unverified = true
 	c.raiseRejectedFence(current, requestedAt, err)
 	silent := failures >= silentAfterFailures && current.setSilent(true)
-	ended := errors.Is(err, cell.ErrNotListening) || errors.Is(err, cell.ErrOtherIncarnation)
-	gone := ended && current.confirmShutdown(requestedAt)
+	gone := c.confirmShutdown(current, requestedAt, err)
 	if silent || gone {
 		notify(c.reportSignal)
 	}
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -49,8 +49,10 @@
 	// shutdownAt is when the executor announced its end; 0 if it didn't, or has answered a later hold.
 	shutdownAt time.Duration
 	// leavesAt is when the time that the draining executor said to have left is over; 0 if it said none.
-	leavesAt  time.Duration
-	inventory cell.Inventory
+	leavesAt time.Duration
+	// shownEvidence is what last showed that the executor has ended.
+	shownEvidence shutdownEvidence
+	inventory     cell.Inventory
 	// generation is that of the fences for requests to this incarnation.
 	generation int64
 	// firstReport is the sequence number of the first report that named this incarnation; 0 if none did.
@@ -156,18 +158,6 @@
 	return i.inventory.Clock + elapsed - time.Duration(maxClockDrift*float64(elapsed))
 }
 
-// confirmShutdown records that a hold requested at requestedAt found the executor ended, and reports whether it is
-// gone: it announced its end before that hold, or the time was over that it said to have left.
-func (i *incarnation) confirmShutdown(requestedAt time.Duration) bool {
-	announced := i.shutdownAt != 0 && requestedAt > i.shutdownAt
-	expected := i.leavesAt != 0 && requestedAt >= i.leavesAt
-	if !announced && !expected {
-		return false
-	}
-	i.executor.Gone = true
-	return true
-}
-
 // droppableEnd returns the number of the newest recorded end that the executor lists; 0 if it lists none. A hold
 // carries no other number: carried out by the next incarnation, it would drop that one's ends up to it.
 func (i *incarnation) droppableEnd() int64 {
@@ -180,13 +170,6 @@
 	return newest
 }
 
-// refuteShutdown drops the announcement of the executor's end if a hold that was requested after it was answered.
-func (i *incarnation) refuteShutdown(requestedAt time.Duration) {
-	if requestedAt > i.shutdownAt {
-		i.shutdownAt = 0
-	}
-}
-
 // setSilent records whether the executor leaves holds unanswered, and reports whether that changes anything.
 func (i *incarnation) setSilent(silent bool) bool {
 	changed := i.silent != silent
