agent: a refused connection is no end of a draining executor

Cause: an executor that drains counted as ended once a connection to it was refused after the time that it had said to stay at the least. It may stay longer, and its link may refuse connections. The scheduler then gave its runs up, with their leases in force.

Change: one function of the agent, shutdownEvidence, answers whether an executor that drains has ended. It takes a notice (once the time to stay is over, no heartbeat follows and nothing listens), another executor's answer, or the end of all leases that this or an earlier process of the agent can have requested. The agent extends the leases of an executor that drains to 3 s beyond its newest answer or the time that it said to stay, not to the whole grant, so that the last ground comes soon; 3 s bridge a restart. The bound of leases is one function now, cell.LeaseTimeout, for agent and scheduler.

Why it works: the notice is the last that an executor says ("It then sends DELETE /v1/instances/ID and ends"), 421 comes from another incarnation, and "when the lease expires, everything is killed".

Tests: TestExecutorThatLeavesOnTimeIsGone asked for the fault (refused after the announced time ends the runs). TestExecutorThatStaysIsNotGone and TestExecutorThatLeavesIsGone take its place with exact moments for each ground.

--- a/agent/config.go
+++ b/agent/config.go
@@ -50,8 +50,6 @@
 	// maxHeartbeatAge is how long after the newest heartbeat of an incarnation late ones are ignored. It is several
 	// heartbeat intervals.
 	maxHeartbeatAge = 5 * time.Second
-	// maxClockDrift is the fraction by which the executor's clock may run slower than the agent's.
-	maxClockDrift = 0.02
 )
 
 // ExecutorClient holds the calls to the executor.
@@ -70,10 +68,12 @@
 	Process int64
 	// SeedAddresses contains the addresses of the entries that the settings name at startup.
 	SeedAddresses []string
-	Logger        hclog.Logger
-	Clock         clockwork.Clock
-	BootTime      boottime.Clock
-	Executor      ExecutorClient
+	// StopGrace is the maximum time that the executor takes to stop a run.
+	StopGrace time.Duration
+	Logger    hclog.Logger
+	Clock     clockwork.Clock
+	BootTime  boottime.Clock
+	Executor  ExecutorClient
 	// Call sends a request of the peer protocol and receives the reply.
 	Call func(ctx context.Context, address string, request, reply proto.Message) error
 	// LookupScheduler returns the address of the scheduler from the store; empty if the cell has none. Nil disables
--- a/agent/heartbeats.go
+++ b/agent/heartbeats.go
@@ -26,6 +26,8 @@
 	if !c.incarnation.acceptHeartbeat(heartbeat, now) {
 		return true
 	}
+	// The notice that an executor shuts down is its last word.
+	c.incarnation.shutdownAt = 0
 	if c.incarnation.executor.GetDraining() != heartbeat.Executor.GetDraining() {
 		c.config.Logger.Info("executor draining state changed", "executor", heartbeat.Executor.GetId(),
 			"draining", heartbeat.Executor.GetDraining(), "remaining", heartbeat.Executor.GetLeftMs())
@@ -50,8 +52,8 @@
 }
 
 // handleShutdownNotice processes an executor's notice that it ends. The notice names no incarnation and may arrive
-// late, and the executor may run for seconds more: it counts only if the incarnation drains, and once nothing listens
-// at the address any more. The caller holds the mutex.
+// late, and the executor may run for a moment more: it counts only if the incarnation drains and says nothing later,
+// and once nothing listens at the address any more. The caller holds the mutex.
 func (c *Controller) handleShutdownNotice(executorID string) {
 	current := c.incarnation
 	accepted := current != nil && current.executor.GetId() == executorID && current.executor.GetDraining()
--- a/agent/holds.go
+++ b/agent/holds.go
@@ -124,9 +124,10 @@
 		Executor:    c.incarnation.executor.GetId(),
 		Fence:       c.fence(c.incarnation).Token(),
 		RecordedEnd: c.incarnation.droppableEnd(),
-		LeaseEnd:    c.incarnation.leaseLimit,
+		LeaseEnd:    c.incarnation.nextLeaseEnd(),
 		Wait:        idleHoldWait,
 	}
+	c.incarnation.leases = c.incarnation.leases.withRequest(hold.LeaseEnd)
 	switch {
 	case c.incarnation.fence != c.fence(c.incarnation) || c.incarnation.hasUnconfirmedOrders() ||
 		c.incarnation.requestedAt < c.incarnation.unansweredAt:
@@ -164,6 +165,7 @@
 		notify(c.reportSignal)
 		return
 	}
+	current.answeredAt = c.config.Clock.Now()
 	if current.applyInventory(hold, inventory, requestedAt, c.config.BootTime.Now()) {
 		notify(c.reportSignal)
 	}
@@ -211,11 +213,14 @@
 
 // finalHold extends the leases as far as granted, so that the runs survive a restart of this process.
 func (c *Controller) finalHold(ctx context.Context) {
-	hold, _, ok := c.nextHold()
+	hold, current, ok := c.nextHold()
 	if !ok {
 		return
 	}
 	hold.Wait = 0
+	if hold.LeaseEnd > 0 {
+		hold.LeaseEnd = current.leaseLimit
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if _, err := c.config.Executor.Hold(ctx, hold); err != nil {
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -48,7 +48,7 @@
 	unansweredAt time.Duration
 	// shutdownAt is when the executor announced its end; 0 if it didn't, or has answered a later hold.
 	shutdownAt time.Duration
-	// leavesAt is when the time that the draining executor said to have left is over; 0 if it said none.
+	// leavesAt is the time on the executor's clock until which it says that it stays while it drains; 0 if it said none.
 	leavesAt time.Duration
 	// shownEvidence is what last showed that the executor has ended.
 	shownEvidence shutdownEvidence
@@ -66,6 +66,9 @@
 	// clock up to which leases may be extended.
 	recordedEnd int64
 	leaseLimit  time.Duration
+	leases      leaseBound
+	// answeredAt is when the executor answered a hold with the inventory; zero before the first one.
+	answeredAt time.Time
 	// shrunkAfter is the sequence number of the newest report before the capacity last shrank.
 	shrunkAfter uint64
 	// ordered holds the starts of the newest orders.
@@ -119,16 +122,17 @@
 	return true
 }
 
-// endOfDrain returns when the time is over that a draining executor says to have left in its newest heartbeat. Once it
-// says none, what it said before holds.
+// endOfDrain returns the time on the executor's clock until which a draining executor says in its newest heartbeat that
+// it stays. Once it says none, what it said before holds.
 func (i *incarnation) endOfDrain(executor *cellpb.Executor) time.Duration {
 	switch {
 	case !executor.GetDraining():
 		return 0
-	case executor.GetLeftMs() > 0:
-		return i.heartbeatAt + time.Duration(executor.GetLeftMs())*time.Millisecond
+	case executor.GetLeftMs() == 0:
+		return i.leavesAt
 	}
-	return i.leavesAt
+	clock := time.Duration(executor.GetSteadyMs()) * time.Millisecond
+	return cmp.Or(clock, i.earliestClock(i.heartbeatAt)) + time.Duration(executor.GetLeftMs())*time.Millisecond
 }
 
 // beginOrder reports whether an order must be executed now, and marks it as in progress if so.
@@ -155,7 +159,7 @@
 // earliestClock returns the earliest possible reading of the executor's clock.
 func (i *incarnation) earliestClock(now time.Duration) time.Duration {
 	elapsed := now - i.readAt
-	return i.inventory.Clock + elapsed - time.Duration(maxClockDrift*float64(elapsed))
+	return i.inventory.Clock + elapsed - time.Duration(cell.MaxClockDrift*float64(elapsed))
 }
 
 // droppableEnd returns the number of the newest recorded end that the executor lists; 0 if it lists none. A hold
--- a/agent/report.go
+++ b/agent/report.go
@@ -184,9 +184,11 @@
 	c.contactAt = c.config.BootTime.Now()
 	notify(c.contactSignal)
 	c.applyOrders(ctx, report.GetSequence(), orders)
-	if current != nil && current.fence.Epoch == orders.GetEpoch() && wasProcessed(report, orders) {
-		current.removeDelivered(report)
+	if current == nil || current.fence.Epoch != orders.GetEpoch() || !wasProcessed(report, orders) {
+		return
 	}
+	current.removeDelivered(report)
+	current.leases = current.leases.withGrant(time.Duration(orders.GetGrantMs()) * time.Millisecond)
 }
 
 // wasProcessed reports whether the scheduler has used the lists in a report, according to its reply.
--- a/agent/shutdown_test.go
+++ b/agent/shutdown_test.go
@@ -1,10 +1,12 @@
 package agent
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"radishpath.example/radishpath/boottime"
@@ -17,6 +19,7 @@
 func newRunningController(now *time.Duration, draining bool, left time.Duration) (*Controller, cell.Heartbeat) {
 	c := New(Config{
 		Logger:   hclog.NewNullLogger(),
+		Clock:    clockwork.NewFakeClock(),
 		BootTime: boottime.Clock{Now: func() time.Duration { return *now }},
 	})
 	heartbeat := cell.Heartbeat{
@@ -87,44 +90,239 @@
 	}
 }
 
-// TestExecutorThatLeavesOnTimeIsGone guards against runs that are given up only with their leases, seconds after their
-// executor was taken away at short notice: it says how long it stays, and ends without another notice. A gang waits all
-// that time for one member (atem-radish-large, SHORT).
-func TestExecutorThatLeavesOnTimeIsGone(t *testing.T) {
-	const drainsAt, left = time.Minute, 2 * time.Second
+// leavingExecutor is a draining executor with a run, whose leases last for grantedLease after its only answer.
+type leavingExecutor struct {
+	*Controller
+	clock     *clockwork.FakeClock
+	now       time.Duration
+	heartbeat cell.Heartbeat
+}
+
+const (
+	leavingStay = 2 * time.Second
+	// grantedLease is how long the leases last that were granted before the executor drains.
+	grantedLease = 6 * time.Second
+)
+
+// newLeavingExecutor returns an executor that has just begun to drain. Unless a grant is known, an earlier process of
+// its agent may have extended its leases.
+func newLeavingExecutor(stay time.Duration, granted bool) *leavingExecutor {
+	l := &leavingExecutor{
+		clock: clockwork.NewFakeClock(),
+		now:   time.Minute,
+	}
+	l.Controller, l.heartbeat = newRunningController(&l.now, false, 0)
+	l.config.Clock = l.clock
+	inventory := cell.Inventory{
+		Clock:   time.Hour,
+		Running: []*cellpb.RunningTask{{Task: "a.0.0.0", Run: 1}},
+	}
+	l.applyInventory(l.incarnation, cell.HoldRequest{}, inventory, l.now)
+	if granted {
+		orders := &cellpb.Orders{
+			Executor: "i-1",
+			Born:     1,
+			GrantMs:  (time.Hour + grantedLease).Milliseconds(),
+		}
+		l.applyReply(context.Background(), &cellpb.Report{Sequence: 1}, l.incarnation, orders)
+	}
+	l.beat(true, stay)
+	return l
+}
+
+// beat sends a heartbeat.
+func (l *leavingExecutor) beat(draining bool, stay time.Duration) {
+	l.heartbeat.Sequence++
+	l.heartbeat.Executor.Draining = draining
+	l.heartbeat.Executor.LeftMs = stay.Milliseconds()
+	l.heartbeat.Executor.SteadyMs = (time.Hour + l.now - time.Minute).Milliseconds()
+	l.HandleHeartbeat(l.heartbeat)
+}
+
+func (l *leavingExecutor) notify() {
+	l.HandleHeartbeat(cell.Heartbeat{
+		Executor:     &cellpb.Executor{Id: "i-1"},
+		ShuttingDown: true,
+	})
+}
+
+// wait advances the time to a moment after the beginning of the drain.
+func (l *leavingExecutor) wait(since time.Duration) {
+	step := time.Minute + since - l.now
+	l.now += step
+	l.clock.Advance(step)
+}
+
+// isGone lets a hold fail and reports whether the executor is reported as gone, without its run.
+func (l *leavingExecutor) isGone(t *testing.T, err error) bool {
+	t.Helper()
+	l.recordHoldFailure(l.incarnation, l.now, 1, err)
+	report, _ := l.report(false)
+	require.Equal(t, report.GetExecutor().GetGone(), len(report.GetRunning()) == 0)
+	return report.GetExecutor().GetGone()
+}
+
+// TestExecutorThatStaysIsNotGone guards against runs that are given up and started elsewhere while they go on, because
+// the link to their draining executor refuses connections (TWICE of issue 54).
+func TestExecutorThatStaysIsNotGone(t *testing.T) {
 	tests := []struct {
 		name string
-		left time.Duration
-		// remains is set if the executor says later that it stays, lingers if it says that no time is left.
-		remains bool
-		lingers bool
-		holdAt  time.Duration
-		err     error
-		gone    bool
+		stay time.Duration
+		// before happens when the executor has just begun to drain.
+		before func(l *leavingExecutor)
+		err    error
 	}{
-		{name: "nothing listens any more", left: left, holdAt: drainsAt + left, err: cell.ErrNotListening, gone: true},
-		{name: "another executor answers", left: left, holdAt: drainsAt + left, err: cell.ErrOtherIncarnation, gone: true},
-		{name: "it lingered", left: left, lingers: true, holdAt: drainsAt + 2*left, err: cell.ErrNotListening, gone: true},
-		{name: "too early", left: left, holdAt: drainsAt + left - 1, err: cell.ErrNotListening},
-		{name: "an answer is lost", left: left, holdAt: drainsAt + left, err: cell.ErrOutcomeUnknown},
-		{name: "it said no time", holdAt: drainsAt + left, err: cell.ErrNotListening},
-		{name: "it stays", left: left, remains: true, holdAt: drainsAt + 2*left, err: cell.ErrNotListening},
+		{name: "the time is over that it said to stay", stay: leavingStay, err: cell.ErrNotListening},
+		{name: "it said no time", err: cell.ErrNotListening},
+		{name: "answers are lost", stay: leavingStay, err: cell.ErrOutcomeUnknown},
+		{
+			name:   "it says that no time is left",
+			stay:   leavingStay,
+			before: func(l *leavingExecutor) { l.wait(leavingStay); l.beat(true, 0) },
+			err:    cell.ErrNotListening,
+		},
+		{
+			name:   "it doesn't drain any more",
+			stay:   leavingStay,
+			before: func(l *leavingExecutor) { l.wait(leavingStay); l.beat(false, 0); l.notify() },
+			err:    cell.ErrNotListening,
+		},
+		{
+			name:   "heartbeats follow the notice of an earlier incarnation",
+			stay:   leavingStay,
+			before: func(l *leavingExecutor) { l.notify(); l.wait(time.Second); l.beat(true, time.Second) },
+			err:    cell.ErrNotListening,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			now := drainsAt
-			c, heartbeat := newRunningController(&now, true, test.left)
-			if test.remains || test.lingers {
-				now += left
-				heartbeat.Sequence++
-				heartbeat.Executor.Draining, heartbeat.Executor.LeftMs = test.lingers, 0
-				c.HandleHeartbeat(heartbeat)
+			l := newLeavingExecutor(test.stay, true)
+			if test.before != nil {
+				test.before(l)
+			}
+			l.wait(grantedLease - time.Millisecond)
+			require.False(t, l.isGone(t, test.err))
+		})
+	}
+}
+
+// TestExecutorThatLeavesIsGone guards against runs that are given up later than it is known that their executor has
+// ended. A gang waits all that time for one member (atem-radish-large, SHORT).
+func TestExecutorThatLeavesIsGone(t *testing.T) {
+	leasesEnd := cell.LeaseTimeout(grantedLease, 0)
+	// stayOver is when an executor with the slowest clock has stayed for as long as it said.
+	stayOver := leavingStay + leavingStay/40
+	tests := []struct {
+		name string
+		// unknown is set if no grant bounds what an earlier process of the agent requested.
+		unknown bool
+		// noticeAt is when the executor says that it shuts down, 0 if it doesn't.
+		noticeAt time.Duration
+		err      error
+		// presentAt is a moment at which the executor isn't gone, goneAt one at which it is; 0 if there is none.
+		presentAt time.Duration
+		goneAt    time.Duration
+	}{
+		{
+			name:      "notice",
+			noticeAt:  stayOver,
+			err:       cell.ErrNotListening,
+			presentAt: stayOver,
+			goneAt:    stayOver + 1,
+		},
+		{
+			name:      "notice, and answers are lost",
+			noticeAt:  stayOver,
+			err:       cell.ErrOutcomeUnknown,
+			presentAt: leasesEnd,
+			goneAt:    leasesEnd + 1,
+		},
+		{
+			name:      "notice before its time",
+			noticeAt:  time.Second,
+			err:       cell.ErrNotListening,
+			presentAt: leavingStay,
+			goneAt:    stayOver,
+		},
+		{
+			name:   "another executor answers",
+			err:    cell.ErrOtherIncarnation,
+			goneAt: 1,
+		},
+		{
+			name:      "refused without a notice",
+			err:       cell.ErrNotListening,
+			presentAt: leasesEnd,
+			goneAt:    leasesEnd + 1,
+		},
+		{
+			name:      "answers are lost",
+			err:       cell.ErrOutcomeUnknown,
+			presentAt: leasesEnd,
+			goneAt:    leasesEnd + 1,
+		},
+		{
+			name:      "the agent has restarted",
+			unknown:   true,
+			err:       cell.ErrNotListening,
+			presentAt: time.Hour,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := newLeavingExecutor(leavingStay, !test.unknown)
+			if test.noticeAt > 0 {
+				l.wait(test.noticeAt)
+				l.notify()
+			}
+			if test.presentAt > 0 {
+				l.wait(test.presentAt)
+				require.False(t, l.isGone(t, test.err))
+			}
+			if test.goneAt > 0 {
+				l.wait(test.goneAt)
+				require.True(t, l.isGone(t, test.err))
 			}
-			now = test.holdAt
-			c.recordHoldFailure(c.incarnation, now, 1, test.err)
-			report, _ := c.report(false)
-			require.Equal(t, test.gone, report.GetExecutor().GetGone())
-			require.Equal(t, test.gone, len(report.GetRunning()) == 0)
 		})
 	}
 }
+
+// TestLeasesOfLeavingExecutorEndSoon guards against work that waits for a long lease after its executor has left
+// without a notice.
+func TestLeasesOfLeavingExecutorEndSoon(t *testing.T) {
+	const limit = time.Hour + time.Minute
+	tests := []struct {
+		name     string
+		draining bool
+		stay     time.Duration
+		leaseEnd time.Duration
+	}{
+		{name: "in service", leaseEnd: limit},
+		{name: "drains without saying how long it stays", draining: true, leaseEnd: limit},
+		{name: "drains", draining: true, stay: leavingStay, leaseEnd: time.Hour + leavingStay + leavingLease},
+		{name: "stays beyond the grant", draining: true, stay: 2 * time.Minute, leaseEnd: limit},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := newLeavingExecutor(0, true)
+			l.beat(test.draining, test.stay)
+			l.incarnation.leaseLimit = limit
+			hold, _, ok := l.nextHold()
+			require.True(t, ok)
+			require.Equal(t, test.leaseEnd, hold.LeaseEnd)
+		})
+	}
+}
+
+// TestStartExtendsLeases guards against leases that are held to have ended before the deadline of a start, which
+// extends them as well.
+func TestStartExtendsLeases(t *testing.T) {
+	l := newLeavingExecutor(leavingStay, true)
+	l.beat(false, 0)
+	l.incarnation.leaseLimit = 2 * time.Hour
+	l.wait(grantedLease)
+	attempt := l.prepareStart(l.incarnation, run{task: "b.0.0.0", run: 1}, 0)
+	l.beat(true, leavingStay)
+	l.wait(grantedLease + attempt.deadline - l.incarnation.earliestClock(l.now))
+	require.False(t, l.isGone(t, cell.ErrNotListening))
+}
--- a/agent/start.go
+++ b/agent/start.go
@@ -140,7 +140,7 @@
 func (c *Controller) prepareStart(current *incarnation, key run, failedAt time.Duration) startAttempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return startAttempt{
+	attempt := startAttempt{
 		ordered:  current.ordered[key] && !current.replaced,
 		draining: current.executor.GetDraining(),
 		listed:   current.isListed(key),
@@ -148,6 +148,11 @@
 		deadline: min(current.earliestClock(c.config.BootTime.Now())+maxStartDelay, current.leaseLimit),
 		fence:    c.fence(current).Token(),
 	}
+	if !attempt.draining {
+		// The deadline is also a lease.
+		current.leases = current.leases.withRequest(attempt.deadline)
+	}
+	return attempt
 }
 
 func (c *Controller) requestStart(
--- a/cmd/agentcmd.go
+++ b/cmd/agentcmd.go
@@ -36,6 +36,7 @@
 		Address:       processSettings.Listen,
 		Process:       c.Clock.Now().UnixMilli(),
 		SeedAddresses: processSettings.SeedAddresses,
+		StopGrace:     processSettings.TaskStopGrace,
 		Logger:        process.logger,
 		Clock:         c.Clock,
 		BootTime:      boottime.NewClock(),
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"radishpath.example/radishpath/cell"
+)
 
 // Default values of Config fields.
 const (
@@ -14,12 +18,6 @@
 // of the limit covers preempting other work and starting the run.
 const maxWaitShare = 0.45
 
-// maxClockDrift is the largest fraction by which an executor's clock may run slower than the scheduler's.
-const maxClockDrift = 0.02
-
-// leaseExpiryMargin covers the time that an executor takes to end runs whose lease has expired.
-const leaseExpiryMargin = 300 * time.Millisecond
-
 // Instant is a moment on the boot-time clock and on the wall clock.
 type Instant struct {
 	// BootTime is the time since the machine booted, including suspension. It is monotonic.
@@ -83,7 +81,7 @@
 
 // leaseTimeout is the time after a report of an executor's last response by which all of its runs have certainly ended.
 func (c Config) leaseTimeout() time.Duration {
-	return c.LeaseDuration + time.Duration(maxClockDrift*float64(c.LeaseDuration)) + c.StopGrace + leaseExpiryMargin
+	return cell.LeaseTimeout(c.LeaseDuration, c.StopGrace)
 }
 
 // maxWait is how long guaranteed work waits for resources to be released, or for resources on which it runs faster,
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -195,7 +195,7 @@
 		LeaseDuration: 10 * time.Second,
 		MaxLease:      6 * time.Second,
 	}
-	longest := 6*time.Second + 120*time.Millisecond + defaultStopGrace + leaseExpiryMargin
+	longest := 6*time.Second + 120*time.Millisecond + defaultStopGrace + 300*time.Millisecond
 	require.Equal(t, longest, config.withDefaults().leaseTimeout())
 	config.MaxLease = 0
 	require.Greater(t, config.withDefaults().leaseTimeout(), 10*time.Second)
--- a/simulation/apply_test.go
+++ b/simulation/apply_test.go
@@ -102,6 +102,23 @@
 			break
 		}
 	}
+	if !w.faultSet.enabled(faultNoNotice) || w.chance(0.5) {
+		w.sendNotice(h, l)
+		w.sleep(w.ctx, w.between(0, 300*time.Millisecond))
+	}
+	w.fleet.mu.Lock()
+	stillThere := h.current == l
+	if stillThere {
+		w.fleet.end(h, "left", w.now())
+	}
+	w.fleet.mu.Unlock()
+	if stillThere {
+		w.restartLater(h)
+	}
+}
+
+// sendNotice sends the notice of a draining executor that it ends.
+func (w *world) sendNotice(h *host, l *incarnation) {
 	w.fleet.mu.Lock()
 	over := l.over
 	if !over {
@@ -120,16 +137,6 @@
 			ShuttingDown: true,
 		}, l)
 	})
-	w.sleep(w.ctx, w.between(0, 300*time.Millisecond))
-	w.fleet.mu.Lock()
-	stillThere := h.current == l
-	if stillThere {
-		w.fleet.end(h, "left", w.now())
-	}
-	w.fleet.mu.Unlock()
-	if stillThere {
-		w.restartLater(h)
-	}
 }
 
 // resize shrinks the capacity of a host for a while.
--- a/simulation/fault_test.go
+++ b/simulation/fault_test.go
@@ -36,6 +36,10 @@
 	faultNewID         = "new-id"
 	// faultFailingGangs limits the attempts of most jobs and lets members of gangs fail together.
 	faultFailingGangs = "failing-gangs"
+	// faultRefuse lets the link to an executor refuse connections; faultNoNotice lets half of the executors that drain end
+	// without a notice.
+	faultRefuse   = "refuse"
+	faultNoNotice = "no-notice"
 	// faultTakeoverAtFailure ends the scheduler between the ends of members that fail together.
 	faultTakeoverAtFailure = "takeover-at-failure"
 )
--- a/simulation/faultset_test.go
+++ b/simulation/faultset_test.go
@@ -24,6 +24,12 @@
 			name:  "leaving",
 			kinds: []string{faultDrain, faultSlowHeartbeats, faultCrash, faultNewID, faultKillEntry, faultKillAgent},
 		},
+		{
+			name: "leaving-refused",
+			kinds: []string{
+				faultDrain, faultNoNotice, faultRefuse, faultCutFrom, faultCapacity, faultNewID, faultKillEntry, faultKillAgent,
+			},
+		},
 		{
 			name:  "late-starts",
 			kinds: []string{faultLateStarts, faultLateStops, faultCrash, faultFlap, faultKillAgent, faultCutTo},
--- a/simulation/fleet_test.go
+++ b/simulation/fleet_test.go
@@ -241,7 +241,7 @@
 	defer f.mu.Unlock()
 	switch {
 	case h.current == nil:
-		return fmt.Errorf("connection refused: %w: %w", cell.ErrNotListening, cell.ErrOutcomeUnknown)
+		return errRefused
 	case h.current.id != id:
 		return cell.ErrOtherIncarnation
 	}
--- a/simulation/host_test.go
+++ b/simulation/host_test.go
@@ -19,6 +19,9 @@
 	maxLateness = 12 * time.Second
 )
 
+// errRefused means that a connection to an executor was refused.
+var errRefused = fmt.Errorf("connection refused: %w: %w", cell.ErrNotListening, cell.ErrOutcomeUnknown)
+
 // host is a machine on which incarnations of an executor follow each other, and the link between it and its agent.
 type host struct {
 	world    *world
@@ -78,6 +81,9 @@
 	if !h.world.sleep(ctx, orderLatency) {
 		return unknownOutcome(ctx)
 	}
+	if h.faults().refused {
+		return errRefused
+	}
 	outcome := h.faults().outcomeOfOrder(h.world, late)
 	if outcome.lateness > 0 {
 		h.world.journal.add(h.name, "unanswered: %s ; carried out again after %s, now %t", what, outcome.lateness,
--- a/simulation/linkfaults_test.go
+++ b/simulation/linkfaults_test.go
@@ -16,6 +16,8 @@
 	// toExecutorCut and fromExecutorCut cut one direction of the link each.
 	toExecutorCut   bool
 	fromExecutorCut bool
+	// refused refuses connections to the executor.
+	refused bool
 	// slowHeartbeats delays a part of the heartbeats.
 	slowHeartbeats bool
 }
@@ -81,6 +83,8 @@
 		f.slowAnswers = active
 	case faultSlowHeartbeats:
 		f.slowHeartbeats = active
+	case faultRefuse:
+		f.refused = active
 	case faultCut:
 		f.toExecutorCut, f.fromExecutorCut = active, active
 	case faultCutTo:
--- a/simulation/world_test.go
+++ b/simulation/world_test.go
@@ -71,7 +71,7 @@
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.network = newNetwork(w)
 	var kinds []string
-	for _, kind := range faultKinds() {
+	for _, kind := range append(faultKinds(), faultRefuse) {
 		if set.enabled(kind) {
 			kinds = append(kinds, kind)
 		}
