agent, dispatch: the scheduler learns when the leases of a silent executor end

Cause: only the agent knew how far it had extended the leases, and it is ended with its machine, 3.3 s after the executor. The scheduler then waits as if the agent had used the whole grant.

Change: the report of a silent executor says when its leases end, and the agent extends none further without a grant in reply to a later report in which the executor answers; the scheduler grants nothing to a silent executor and gives its runs up once those leases have ended.

Why it is safe: the end that was reported covers holds and starts, is kept until the agent has a grant that the scheduler gave after it had heard that the executor answers, and isn't reported before a grant bounds what an earlier process of the agent may have requested. A new scheduler that hasn't heard the executor waits as before.

--- a/agent/config.go
+++ b/agent/config.go
@@ -68,12 +68,10 @@
 	Process int64
 	// SeedAddresses contains the addresses of the entries that the settings name at startup.
 	SeedAddresses []string
-	// StopGrace is the maximum time that the executor takes to stop a run.
-	StopGrace time.Duration
-	Logger    hclog.Logger
-	Clock     clockwork.Clock
-	BootTime  boottime.Clock
-	Executor  ExecutorClient
+	Logger        hclog.Logger
+	Clock         clockwork.Clock
+	BootTime      boottime.Clock
+	Executor      ExecutorClient
 	// Call sends a request of the peer protocol and receives the reply.
 	Call func(ctx context.Context, address string, request, reply proto.Message) error
 	// LookupScheduler returns the address of the scheduler from the store; empty if the cell has none. Nil disables
--- a/agent/holds.go
+++ b/agent/holds.go
@@ -165,7 +165,6 @@
 		notify(c.reportSignal)
 		return
 	}
-	current.answeredAt = c.config.Clock.Now()
 	if current.applyInventory(hold, inventory, requestedAt, c.config.BootTime.Now()) {
 		notify(c.reportSignal)
 	}
@@ -219,7 +218,7 @@
 	}
 	hold.Wait = 0
 	if hold.LeaseEnd > 0 {
-		hold.LeaseEnd = current.leaseLimit
+		hold.LeaseEnd = current.leases.limit
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -49,10 +49,8 @@
 	// shutdownAt is when the executor announced its end; 0 if it didn't, or has answered a later hold.
 	shutdownAt time.Duration
 	// leavesAt is the time on the executor's clock until which it says that it stays while it drains; 0 if it said none.
-	leavesAt time.Duration
-	// shownEvidence is what last showed that the executor has ended.
-	shownEvidence shutdownEvidence
-	inventory     cell.Inventory
+	leavesAt  time.Duration
+	inventory cell.Inventory
 	// generation is that of the fences for requests to this incarnation.
 	generation int64
 	// firstReport is the sequence number of the first report that named this incarnation; 0 if none did.
@@ -62,13 +60,9 @@
 	fence       cell.ExecutorFence
 	requestedAt time.Duration
 	readAt      time.Duration
-	// recordedEnd is the number of the newest end stored in the cell's log. leaseLimit is the time on the executor's
-	// clock up to which leases may be extended.
+	// recordedEnd is the number of the newest end stored in the cell's log.
 	recordedEnd int64
-	leaseLimit  time.Duration
-	leases      leaseBound
-	// answeredAt is when the executor answered a hold with the inventory; zero before the first one.
-	answeredAt time.Time
+	leases      leases
 	// shrunkAfter is the sequence number of the newest report before the capacity last shrank.
 	shrunkAfter uint64
 	// ordered holds the starts of the newest orders.
@@ -227,7 +221,7 @@
 	i.rejectionReasons[key] = reason
 }
 
-// report fills in the executor's part of a report.
+// report fills in the executor's part of a report, which has its sequence number.
 func (i *incarnation) report(report *cellpb.Report) {
 	report.Epoch = i.fence.Epoch
 	report.Generation = i.fence.Generation
@@ -235,6 +229,10 @@
 	report.Executor = proto.CloneOf(i.executor)
 	report.Executor.SteadyMs = i.inventory.Clock.Milliseconds()
 	report.Executor.Silent = i.silent || i.replaced
+	if report.GetExecutor().GetSilent() {
+		i.leases = i.leases.withSilentReport(report.GetSequence())
+		report.Executor.LeaseEndMs = i.leases.reportedEnd().Milliseconds()
+	}
 	if !i.executor.GetGone() {
 		report.Running = i.runningTasks()
 	}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -35,7 +35,7 @@
 		return
 	}
 	current.recordedEnd = max(current.recordedEnd, orders.GetRecorded())
-	current.leaseLimit = max(current.leaseLimit, time.Duration(orders.GetGrantMs())*time.Millisecond)
+	current.leases = current.leases.withGrant(sequence, grantOf(orders))
 	current.ordered = map[run]bool{}
 	for _, start := range current.validStarts(sequence, orders) {
 		key := runOf(start)
@@ -54,6 +54,11 @@
 	}
 }
 
+// grantOf returns the time on the executor's clock up to which orders let leases be extended.
+func grantOf(orders *cellpb.Orders) time.Duration {
+	return time.Duration(orders.GetGrantMs()) * time.Millisecond
+}
+
 // reasonStaleRun is the reason for rejecting a run whose number isn't higher than that of a run of the same task that
 // ran or was stopped on the executor.
 const reasonStaleRun = "old"
--- a/agent/report.go
+++ b/agent/report.go
@@ -188,7 +188,7 @@
 		return
 	}
 	current.removeDelivered(report)
-	current.leases = current.leases.withGrant(time.Duration(orders.GetGrantMs()) * time.Millisecond)
+	current.leases = current.leases.withBound(grantOf(orders))
 }
 
 // wasProcessed reports whether the scheduler has used the lists in a report, according to its reply.
--- a/agent/start.go
+++ b/agent/start.go
@@ -145,7 +145,7 @@
 		draining: current.executor.GetDraining(),
 		listed:   current.isListed(key),
 		verified: !current.unverified && (failedAt == 0 || current.requestedAt >= failedAt),
-		deadline: min(current.earliestClock(c.config.BootTime.Now())+maxStartDelay, current.leaseLimit),
+		deadline: min(current.earliestClock(c.config.BootTime.Now())+maxStartDelay, current.leases.limit),
 		fence:    c.fence(current).Token(),
 	}
 	if !attempt.draining {
--- a/cmd/agentcmd.go
+++ b/cmd/agentcmd.go
@@ -36,7 +36,6 @@
 		Address:       processSettings.Listen,
 		Process:       c.Clock.Now().UnixMilli(),
 		SeedAddresses: processSettings.SeedAddresses,
-		StopGrace:     processSettings.TaskStopGrace,
 		Logger:        process.logger,
 		Clock:         c.Clock,
 		BootTime:      boottime.NewClock(),
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -79,7 +79,8 @@
 	return c
 }
 
-// leaseTimeout is the time after a report of an executor's last response by which all of its runs have certainly ended.
+// leaseTimeout is the time after a report of an executor's last response by which all of its runs have certainly ended,
+// however far its agent has extended their leases.
 func (c Config) leaseTimeout() time.Duration {
 	return cell.LeaseTimeout(c.LeaseDuration, c.StopGrace)
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -21,7 +21,10 @@
 		Born:       e.state.GetBorn(),
 		Recorded:   e.lastStoredEnd,
 		Speed:      p.speedOf(agent),
-		GrantMs:    e.state.GetSteadyMs() + p.config.LeaseDuration.Milliseconds(),
+	}
+	if !e.state.GetSilent() {
+		// Runs of a silent executor are given up when the leases that its agent has reported have ended.
+		orders.GrantMs = e.state.GetSteadyMs() + p.config.LeaseDuration.Milliseconds()
 	}
 	for _, stop := range e.orphans {
 		orders.Stops = append(orders.Stops, stop)
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -211,13 +211,3 @@
 		}
 	}
 }
-
-// markLost gives up a run that certainly no longer exists.
-func (p *Planner) markLost(run *taskRun, reason string, now Instant) {
-	p.config.Log("run lost", "task", run.task.id.String(), "run", run.runNumber, "agent", run.agent, "reason", reason,
-		"lost", lostWork(run, now))
-	run.task.group.job.history.addOutcome("lost: "+reason, lostWork(run, now))
-	p.removeRun(run)
-	run.task.group.job.dirty = true
-	p.stopGang(run.task.group, reasonMemberLost, now)
-}
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -40,7 +40,7 @@
 	p.processRunning(e, report, now)
 	if e.state.GetGone() {
 		for _, run := range p.runsAt(e.agent) {
-			p.markLost(run, "executor ended", now)
+			p.markLost(run, lostEnded, now)
 		}
 	}
 	return true
@@ -124,7 +124,7 @@
 			run.task.group.job.dirty = true
 		default:
 			crashed.add(run)
-			p.markLost(run, "executor started anew", now)
+			p.markLost(run, lostReplaced, now)
 		}
 	}
 }
--- a/proof/leaving_test.go
+++ b/proof/leaving_test.go
@@ -203,6 +203,8 @@
 		name     string
 		stays    time.Duration
 		announce func(c *leavingCell)
+		// agent is set if the agent is ended soon after its executor, as on a machine that is taken away.
+		agent bool
 		// limit is the longest time from the executor's end to the next run.
 		limit time.Duration
 	}{
@@ -224,6 +226,13 @@
 			announce: func(*leavingCell) {},
 			limit:    cell.LeaseTimeout(longestLease, stopGrace) / 2,
 		},
+		{
+			name:     "without a notice after a long stay, with its agent",
+			stays:    longStay,
+			announce: func(*leavingCell) {},
+			agent:    true,
+			limit:    cell.LeaseTimeout(longestLease, stopGrace) / 2,
+		},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -232,6 +241,10 @@
 			test.announce(c)
 			c.leave()
 			endedAt := c.clock.Now()
+			if test.agent {
+				c.clock.Sleep(time.Second)
+				c.Agents[c.index].SignalAndWait(syscall.SIGTERM)
+			}
 			c.await(2*test.limit, c.task+" runs again", func() bool { return c.Recorder.StartCount(c.task) > 1 })
 			starts := c.Recorder.StartsSince(endedAt)
 			wait := starts[len(starts)-1].At.Sub(endedAt)
--- a/settings/process.go
+++ b/settings/process.go
@@ -92,7 +92,7 @@
 	parsed.KeyRevocationDelay = reader.Duration("revoke", 5*time.Second, minDuration)
 	parsed.ShutdownGrace = reader.Duration("grace", 6*time.Second, minDuration)
 	parsed.MaxLeaseDuration = reader.Duration("hold", 10*time.Second, minDuration)
-	parsed.TaskStopGrace = readTaskStopGrace(reader)
+	parsed.TaskStopGrace = reader.Duration("stop", 200*time.Millisecond, 0)
 	parsed.ReclaimTimeout = reader.Duration("reclaim", 2700*time.Millisecond, minDuration)
 	parsed.JobRetention = reader.Duration("keep", 2*time.Minute, minDuration)
 	parsed.RemoteSlowdownFactor = reader.Int("far", 1, 1, maxRemoteSlowdownFactor)
@@ -108,15 +108,10 @@
 	parsed := readProcess(file, reader)
 	parsed.HeartbeatAddress = readAddress(reader, "control", "127.0.0.1:7082")
 	parsed.Executor = readAddress(reader, "executor", "127.0.0.1:8000")
-	parsed.TaskStopGrace = readTaskStopGrace(reader)
 	reader.CheckUnknownKeys()
 	return parsed, file.Err()
 }
 
-func readTaskStopGrace(reader *inifile.Reader) time.Duration {
-	return reader.Duration("stop", 200*time.Millisecond, 0)
-}
-
 // ReadProcess reads the settings of a process from a file with parse, which is ParseEntry or ParseAgent.
 func ReadProcess(
 	files FileSystem, path string, parse func(name string, text []byte) (ProcessSettings, error),
