agent: a heartbeat without a start time names no other incarnation

Cause: the agent compared the start times of a heartbeat and of the executor's answer only if both are known, so that the executor confirmed an incarnation without one with its own answer.

Change: an executor that names its start time in its lists names it in all that it says of itself, so such an answer refutes a heartbeat without one.

--- a/agent/confirmation.go
+++ b/agent/confirmation.go
@@ -45,7 +45,7 @@
 		return true
 	case err != nil:
 		return false
-	case inventory.Born != 0 && executor.GetBorn() != 0 && inventory.Born != executor.GetBorn():
+	case !isInventoryOf(inventory, executor):
 		c.refute(executor, "the executor has another start time", inventory.Born)
 		return true
 	}
@@ -56,6 +56,12 @@
 	return true
 }
 
+// isInventoryOf reports whether an inventory is that of an incarnation. An executor that names its start time in its
+// lists names it in its heartbeats as well: one without it is of another writer.
+func isInventoryOf(inventory cell.Inventory, executor *cellpb.Executor) bool {
+	return inventory.Born == 0 || inventory.Born == executor.GetBorn()
+}
+
 // firstHold returns the first hold for an incarnation. Requests to the current one may reach that incarnation seconds
 // later; the hold has a higher fence, so that those are rejected. What was carried out before is in its response.
 func (c *Controller) firstHold(executor *cellpb.Executor) cell.HoldRequest {
--- a/agent/confirmation_test.go
+++ b/agent/confirmation_test.go
@@ -119,6 +119,8 @@
 		{name: "a served service", odd: []cell.Heartbeat{other("i-2", 2000, "desk", false)}},
 		{name: "draining", odd: []cell.Heartbeat{other("i-2", 2000, "desk", true)}},
 		{name: "the own id and a later start", odd: []cell.Heartbeat{other("i-1", 2000, "desk", false)}},
+		{name: "the own id and no start", odd: []cell.Heartbeat{other("i-1", 0, "desk", false)}},
+		{name: "the own id, no start and draining", odd: []cell.Heartbeat{other("i-1", 0, "desk", true)}},
 		{name: "the own id and draining", odd: []cell.Heartbeat{other("i-1", 1000, "desk", true)}},
 		{name: "the own id and another service", odd: []cell.Heartbeat{other("i-1", 1000, "tents", false)}},
 		{name: "the own id and a far later sequence number", odd: []cell.Heartbeat{late}},
--- a/agent/holds.go
+++ b/agent/holds.go
@@ -154,7 +154,7 @@
 		current.successorFenced = true
 		return
 	}
-	if inventory.Born != 0 && current.executor.GetBorn() != 0 && inventory.Born != current.executor.GetBorn() {
+	if !isInventoryOf(inventory, current.executor) {
 		// The executor restarted under the same id, and its next heartbeat describes the new incarnation. Until then it
 		// gets no orders, only one hold with a higher fence: late orders and holds for the earlier incarnation would
 		// start runs there, and drop ended ones by the earlier incarnation's numbers.
