agent: read the executor under the mutex when a start or stop is sent

requestStart and stopWithRetry read the executor's id without the mutex that HandleHeartbeat holds while it replaces the description; the race detector reports it. The id is read together with the fence now. go test -race ./agent is clean.

--- a/agent/orders.go
+++ b/agent/orders.go
@@ -100,7 +100,7 @@
 func (c *Controller) stopWithRetry(ctx context.Context, current *incarnation, key run) bool {
 	for ctx.Err() == nil {
 		c.mu.Lock()
-		fence, replaced := c.fence(current).Token(), current.replaced
+		executor, fence, replaced := current.executor.GetId(), c.fence(current).Token(), current.replaced
 		c.mu.Unlock()
 		if replaced {
 			return false
@@ -108,7 +108,7 @@
 		stopCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		_, err := repeatUntilAnswered(stopCtx, c, repeatDelay, func(ctx context.Context, _ int) (struct{}, error) {
 			return struct{}{}, c.config.Executor.Stop(ctx, cell.TaskStop{
-				Executor: current.executor.GetId(),
+				Executor: executor,
 				Task:     key.task,
 				Run:      key.run,
 				Fence:    fence,
--- a/agent/start.go
+++ b/agent/start.go
@@ -48,7 +48,7 @@
 			return
 		case attempt.verified:
 			wait = repeatDelay
-			c.sendStart(requestCtx, &requests, current, key, order, attempt)
+			c.sendStart(requestCtx, &requests, key, order, attempt)
 		}
 		if result, ok := c.awaitStart(ctx, &requests, wait); ok {
 			c.applyStartResult(ctx, current, key, result, unanswered)
@@ -63,13 +63,13 @@
 
 // sendStart sends a request for a start in the background.
 func (c *Controller) sendStart(
-	ctx context.Context, requests *startRequests, current *incarnation, key run, order *cellpb.Start, attempt startAttempt,
+	ctx context.Context, requests *startRequests, key run, order *cellpb.Start, attempt startAttempt,
 ) {
 	requests.inFlight++
 	c.orders.Go(func() {
 		result := startResult{
 			attempt: attempt,
-			err:     c.requestStart(ctx, current, key, order, attempt),
+			err:     c.requestStart(ctx, key, order, attempt),
 		}
 		select {
 		case requests.results <- result:
@@ -132,6 +132,7 @@
 	listed bool
 	// verified is set unless a hold or an earlier request failed and no later inventory was read.
 	verified bool
+	executor string
 	deadline time.Duration
 	fence    int64
 }
@@ -145,6 +146,7 @@
 		draining: current.executor.GetDraining(),
 		listed:   current.isListed(key),
 		verified: !current.unverified && (failedAt == 0 || current.requestedAt >= failedAt),
+		executor: current.executor.GetId(),
 		deadline: min(current.earliestClock(c.config.BootTime.Now())+maxStartDelay, current.leases.limit),
 		fence:    c.fence(current).Token(),
 	}
@@ -156,12 +158,12 @@
 }
 
 func (c *Controller) requestStart(
-	ctx context.Context, current *incarnation, key run, order *cellpb.Start, attempt startAttempt,
+	ctx context.Context, key run, order *cellpb.Start, attempt startAttempt,
 ) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	return c.config.Executor.Start(ctx, cell.TaskStart{
-		Executor:      current.executor.GetId(),
+		Executor:      attempt.executor,
 		Task:          key.task,
 		Run:           key.run,
 		Spec:          order.GetSpec(),
