agent: a notice counts as soon as the executor ends

A notice that an executor ends counts once the time is over that it said to stay.

The hold that a process leaves behind is built in a function of its own, under the mutex.

--- a/agent/holds.go
+++ b/agent/holds.go
@@ -212,17 +212,28 @@
 
 // finalHold extends the leases as far as granted, so that the runs survive a restart of this process.
 func (c *Controller) finalHold(ctx context.Context) {
-	hold, current, ok := c.nextHold()
+	hold, ok := c.lastHold()
 	if !ok {
 		return
 	}
-	hold.Wait = 0
-	if hold.LeaseEnd > 0 {
-		hold.LeaseEnd = current.leases.limit
-	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if _, err := c.config.Executor.Hold(ctx, hold); err != nil {
 		c.config.Logger.Warn("final lease extension failed", "error", err)
 	}
 }
+
+// lastHold returns the hold that the process leaves behind; false if it has none to send.
+func (c *Controller) lastHold() (cell.HoldRequest, bool) {
+	hold, current, ok := c.nextHold()
+	if !ok {
+		return cell.HoldRequest{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hold.Wait = 0
+	if !current.replaced {
+		hold.LeaseEnd = current.leases.limit
+	}
+	return hold, true
+}
--- a/agent/shutdown.go
+++ b/agent/shutdown.go
@@ -36,10 +36,13 @@
 	return noEvidence
 }
 
+// stayTolerance covers the drift of the executor's clock since its last answer and the delays of messages.
+const stayTolerance = 100 * time.Millisecond
+
 // stayIsOver reports whether the time is over that a draining executor said to stay. A notice that it shuts down before
 // is that of an earlier incarnation.
 func (i *incarnation) stayIsOver(now time.Duration) bool {
-	return i.leavesAt == 0 || i.earliestClock(now) >= i.leavesAt
+	return i.leavesAt == 0 || i.earliestClock(now)+stayTolerance >= i.leavesAt
 }
 
 // confirmShutdown records that the executor is gone if a hold that was requested at requestedAt and failed with err
