simulation: a killed entry waits for its handlers before its timers

A handler of a killed entry could start a timer while kill waits for the timers in the same WaitGroup, which panics. Handlers are counted and waited for first.

--- a/simulation/entryprocess_test.go
+++ b/simulation/entryprocess_test.go
@@ -32,7 +32,12 @@
 	// ctx ends when the process is killed.
 	ctx    context.Context
 	cancel context.CancelFunc
-	loops  sync.WaitGroup
+	// loops counts the loops and timers of the process, handlers the requests that it handles.
+	loops    sync.WaitGroup
+	handlers sync.WaitGroup
+	// mu guards killed, after which no request is handled.
+	mu     sync.Mutex
+	killed bool
 }
 
 func startEntryProcess(w *world, name string) *entryProcess {
@@ -128,12 +133,31 @@
 func (p *entryProcess) kill() {
 	p.world.journal.add(p.name, "process killed")
 	p.world.network.setHandler(p.name, nil)
+	p.mu.Lock()
+	p.killed = true
+	p.mu.Unlock()
 	p.cancel()
 	p.gate.thaw()
+	// A handler may still start timers, which mustn't meet the wait for them.
+	p.handlers.Wait()
 	p.loops.Wait()
 }
 
+// beginHandler counts a handler, and reports whether the process still handles requests.
+func (p *entryProcess) beginHandler() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.killed {
+		p.handlers.Add(1)
+	}
+	return !p.killed
+}
+
 func (p *entryProcess) handle(request *cellpb.Request) *cellpb.Reply {
+	if !p.beginHandler() {
+		return nil
+	}
+	defer p.handlers.Done()
 	p.gate.wait()
 	if p.ctx.Err() != nil {
 		return nil
