--- a/agent/shutdown_test.go
+++ b/agent/shutdown_test.go
@@ -13,8 +13,8 @@
 )
 
 // newRunningController returns a controller whose executor has a run, and the executor's first heartbeat. The time is
-// read from now; left is how long the executor says that it stays, 0 if it says nothing.
-func newRunningController(now *time.Duration, draining bool, left time.Duration) (*Controller, cell.Heartbeat) {
+// read from now.
+func newRunningController(now *time.Duration, draining bool) (*Controller, cell.Heartbeat) {
 	c := New(Config{
 		Logger:   hclog.NewNullLogger(),
 		BootTime: boottime.Clock{Now: func() time.Duration { return *now }},
@@ -24,7 +24,6 @@
 			Id:       "i-1",
 			Born:     1,
 			Draining: draining,
-			LeftMs:   left.Milliseconds(),
 		},
 		Sequence: 1,
 	}
@@ -63,7 +62,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			now := noticeAt
-			c, heartbeat := newRunningController(&now, test.draining, 0)
+			c, heartbeat := newRunningController(&now, test.draining)
 			c.HandleHeartbeat(cell.Heartbeat{Executor: &cellpb.Executor{Id: "i-1"}, ShuttingDown: true})
 			if test.earlier {
 				now -= time.Minute / 2
@@ -102,7 +101,7 @@
 	l := &leavingExecutor{
 		now: time.Minute,
 	}
-	l.Controller, l.heartbeat = newRunningController(&l.now, false, 0)
+	l.Controller, l.heartbeat = newRunningController(&l.now, false)
 	inventory := cell.Inventory{
 		Clock:   time.Hour,
 		Running: []*cellpb.RunningTask{{Task: "a.0.0.0", Run: 1}},
