simulation: a killed entry is known by its context

The flag killed repeated what the ended context says. The context ends under the mutex under which handlers begin, so that none begins afterwards, as before.

--- a/simulation/entryprocess_test.go
+++ b/simulation/entryprocess_test.go
@@ -35,9 +35,8 @@
 	// loops counts the loops and timers of the process, handlers the requests that it handles.
 	loops    sync.WaitGroup
 	handlers sync.WaitGroup
-	// mu guards killed, after which no request is handled.
-	mu     sync.Mutex
-	killed bool
+	// mu is held while the process is killed and while a handler begins, so that none begins afterwards.
+	mu sync.Mutex
 }
 
 func startEntryProcess(w *world, name string) *entryProcess {
@@ -134,9 +133,8 @@
 	p.world.journal.add(p.name, "process killed")
 	p.world.network.setHandler(p.name, nil)
 	p.mu.Lock()
-	p.killed = true
-	p.mu.Unlock()
 	p.cancel()
+	p.mu.Unlock()
 	p.gate.thaw()
 	// A handler may still start timers, which mustn't meet the wait for them.
 	p.handlers.Wait()
@@ -147,10 +145,11 @@
 func (p *entryProcess) beginHandler() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.killed {
-		p.handlers.Add(1)
+	if p.ctx.Err() != nil {
+		return false
 	}
-	return !p.killed
+	p.handlers.Add(1)
+	return true
 }
 
 func (p *entryProcess) handle(request *cellpb.Request) *cellpb.Reply {
