--- a/proof/leaving_test.go
+++ b/proof/leaving_test.go
@@ -69,13 +69,8 @@
 // notify sends the executor's notice that it shuts down to its agent, and requires that it is acknowledged.
 func (c *leavingCell) notify() {
 	c.t.Helper()
-	request, err := http.NewRequestWithContext(c.t.Context(), http.MethodDelete,
-		"http://"+c.ControlAddresses[c.index]+"/v1/instances/"+executorID(c.index), http.NoBody)
-	require.NoError(c.t, err)
-	response, err := http.DefaultClient.Do(request)
-	require.NoError(c.t, err)
-	require.NoError(c.t, response.Body.Close())
-	require.Equal(c.t, http.StatusOK, response.StatusCode)
+	status := c.sendAsExecutor(http.MethodDelete, c.ControlAddresses[c.index], executorID(c.index), "")
+	require.Equal(c.t, http.StatusOK, status)
 }
 
 // leave ends the executor for good: nothing listens at its address any more.
@@ -84,16 +79,9 @@
 	c.link.Refuse()
 }
 
-// restartAgent kills the agent of the draining executor and starts it again.
-func (c *leavingCell) restartAgent() {
-	c.t.Helper()
-	require.NoError(c.t, c.Agents[c.index].Restart(c.t.Context(), syscall.SIGKILL, 0))
-}
-
-// restartScheduler kills the entry that schedules and starts it again later, so that another one schedules.
-func (c *leavingCell) restartScheduler() {
-	c.t.Helper()
-	require.NoError(c.t, c.schedulerEntry().Restart(c.t.Context(), syscall.SIGKILL, time.Second))
+// agent returns the agent of the draining executor.
+func (c *leavingCell) agent() *cluster.Process {
+	return c.Agents[c.index]
 }
 
 // TestDrainingExecutorThatStaysKeepsItsRuns guards against a run that is started elsewhere while it goes on, because
@@ -115,18 +103,18 @@
 		{name: "answers lost", fail: func(c *leavingCell) { c.link.SetFault(cluster.FaultDropFromTarget) }},
 		{
 			name:   "refused after the agent has restarted",
-			before: func(c *leavingCell) { c.restartAgent(); c.clock.Sleep(stay) },
+			before: func(c *leavingCell) { c.restart(c.agent(), 0); c.clock.Sleep(stay) },
 			fail:   func(c *leavingCell) { c.link.Refuse() },
 		},
 		{
 			name:   "refused while the agent restarts",
 			fail:   func(c *leavingCell) { c.link.Refuse() },
-			during: (*leavingCell).restartAgent,
+			during: func(c *leavingCell) { c.restart(c.agent(), 0) },
 		},
 		{
 			name:   "refused while the scheduler changes",
 			fail:   func(c *leavingCell) { c.link.Refuse() },
-			during: (*leavingCell).restartScheduler,
+			during: func(c *leavingCell) { c.restart(c.schedulerEntry(), time.Second) },
 		},
 		{
 			name:   "refused after the notice of another incarnation",
@@ -160,33 +148,23 @@
 	const downtime = 500 * time.Millisecond
 	tests := []struct {
 		name    string
-		restart func(c *leavingCell) error
+		restart func(c *leavingCell)
 	}{
-		{
-			name: "agent killed",
-			restart: func(c *leavingCell) error {
-				return c.Agents[c.index].Restart(c.t.Context(), syscall.SIGKILL, downtime)
-			},
-		},
+		{name: "agent killed", restart: func(c *leavingCell) { c.restart(c.agent(), downtime) }},
 		{
 			name: "agent terminated",
-			restart: func(c *leavingCell) error {
-				return c.Agents[c.index].Restart(c.t.Context(), syscall.SIGTERM, reactionTimeout)
-			},
-		},
-		{
-			name: "scheduler killed",
-			restart: func(c *leavingCell) error {
-				return c.schedulerEntry().Restart(c.t.Context(), syscall.SIGKILL, downtime)
+			restart: func(c *leavingCell) {
+				require.NoError(c.t, c.agent().Restart(c.t.Context(), syscall.SIGTERM, reactionTimeout))
 			},
 		},
+		{name: "scheduler killed", restart: func(c *leavingCell) { c.restart(c.schedulerEntry(), downtime) }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := newLeavingCell(t)
 			// The leases that were granted before the executor drained are over.
 			c.clock.Sleep(longestLease)
-			require.NoError(t, test.restart(c))
+			test.restart(c)
 			c.clock.Sleep(reactionTimeout)
 			require.Equal(t, 1, c.Recorder.StartCount(c.task))
 			require.NotEmpty(t, c.Recorder.RunningOn(c.task))
@@ -243,7 +221,7 @@
 			endedAt := c.clock.Now()
 			if test.agent {
 				c.clock.Sleep(time.Second)
-				c.Agents[c.index].SignalAndWait(syscall.SIGTERM)
+				c.agent().SignalAndWait(syscall.SIGTERM)
 			}
 			c.await(2*test.limit, c.task+" runs again", func() bool { return c.Recorder.StartCount(c.task) > 1 })
 			starts := c.Recorder.StartsSince(endedAt)
--- a/proof/odd_records_test.go
+++ b/proof/odd_records_test.go
@@ -23,15 +23,16 @@
 	h.t.Helper()
 	for _, address := range h.ControlAddresses {
 		for _, body := range cluster.OddHeartbeats() {
-			require.Equal(h.t, http.StatusBadRequest, h.sendHeartbeat(address, "i-other", body), body)
+			require.Equal(h.t, http.StatusBadRequest, h.sendAsExecutor(http.MethodPut, address, "i-other", body), body)
 		}
 	}
 }
 
-// sendHeartbeat sends a heartbeat to an agent and returns the status of the response.
-func (h *harness) sendHeartbeat(address, executorID, body string) int {
+// sendAsExecutor sends a message of an executor to an agent and returns the status of the response: a heartbeat with
+// PUT, the notice that the executor shuts down with DELETE.
+func (h *harness) sendAsExecutor(method, address, executorID, body string) int {
 	h.t.Helper()
-	request, err := http.NewRequestWithContext(h.t.Context(), http.MethodPut,
+	request, err := http.NewRequestWithContext(h.t.Context(), method,
 		"http://"+address+"/v1/instances/"+executorID, strings.NewReader(body))
 	require.NoError(h.t, err)
 	response, err := http.DefaultClient.Do(request)
@@ -107,7 +108,7 @@
 		h.awaitRunning(running, reactionTimeout)
 		for i, address := range h.ControlAddresses {
 			heartbeat := cluster.ForeignHeartbeats(i, h.clock.Now())[kind]
-			h.sendHeartbeat(address, heartbeat.ExecutorID, heartbeat.Body)
+			h.sendAsExecutor(http.MethodPut, address, heartbeat.ExecutorID, heartbeat.Body)
 		}
 		h.awaitCompleted(h.submit(h.job("10ms")), reactionTimeout)
 		h.awaitCompleted(running, reactionTimeout)
