dispatch: tests of lapsed runs share their start and their check

TestRunsOfSilentExecutorEndWithReportedLeases repeated the start of a job and the check of the moment at which its task moves from TestSilentExecutorKeepsRunsUntilLeaseTimeout.

--- a/dispatch/lostrun_test.go
+++ b/dispatch/lostrun_test.go
@@ -13,7 +13,6 @@
 // TestRunsOfSilentExecutorEndWithReportedLeases guards against work that waits for the longest lease although the agent
 // has reported an earlier end, and against work that is started elsewhere before that end.
 func TestRunsOfSilentExecutorEndWithReportedLeases(t *testing.T) {
-	const id = testJobID
 	tests := []struct {
 		name   string
 		silent bool
@@ -67,12 +66,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t)
 			h.advance(time.Minute)
-			h.report("agent-1", "r1", nil)
-			h.submit(singleTaskJob(id, "renders", "schools", 1))
-			h.planAndCommit()
-			h.report("agent-1", "r1", reportRunning(id+".0.0.0"))
+			h.startTestJob()
 			orders := h.report("agent-1", "r1", func(report *cellpb.Report) {
-				reportRunning(id + ".0.0.0")(report)
+				reportRunning(testJobID + ".0.0.0")(report)
 				report.Executor.Silent = test.silent
 				if test.left != 0 {
 					report.Executor.LeaseEndMs = report.GetExecutor().GetSteadyMs() + test.left.Milliseconds()
@@ -80,16 +76,10 @@
 			})
 			if test.answers {
 				h.advance(time.Second)
-				orders = h.report("agent-1", "r1", reportRunning(id+".0.0.0"))
+				orders = h.report("agent-1", "r1", reportRunning(testJobID+".0.0.0"))
 			}
 			require.Equal(t, test.grants, orders.GetGrantMs() > 0)
-			h.advance(test.timeout(h) - time.Millisecond)
-			h.report("agent-2", "r1", nil)
-			h.planAndCommit()
-			require.Equal(t, []string{"agent-1"}, h.taskAgents(0))
-			h.advance(2 * time.Millisecond)
-			h.planAndCommit()
-			require.Equal(t, []string{"agent-2"}, h.taskAgents(0))
+			h.requireTestJobMoves(test.timeout(h))
 		})
 	}
 }
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -122,18 +122,30 @@
 func TestSilentExecutorKeepsRunsUntilLeaseTimeout(t *testing.T) {
 	const id = testJobID
 	h := newHarness(t)
+	h.startTestJob()
+	h.requireTestJobMoves(h.planner.config.leaseTimeout())
+	require.EqualValues(t, 2, h.planner.findTask(id+".0.0.0").runNumber, "run numbers increase")
+}
+
+// startTestJob lets agent-1 run a task of testJobID.
+func (h *plannerHarness) startTestJob() {
+	h.t.Helper()
 	h.report("agent-1", "r1", nil)
-	h.submit(singleTaskJob(id, "renders", "schools", 1))
+	h.submit(singleTaskJob(testJobID, "renders", "schools", 1))
 	h.planAndCommit()
-	h.report("agent-1", "r1", reportRunning(id+".0.0.0"))
-	h.advance(h.planner.config.leaseTimeout() - time.Millisecond)
+	h.report("agent-1", "r1", reportRunning(testJobID+".0.0.0"))
+}
+
+// requireTestJobMoves requires that the task of startTestJob is started on agent-2 after a timeout and not before.
+func (h *plannerHarness) requireTestJobMoves(timeout time.Duration) {
+	h.t.Helper()
+	h.advance(timeout - time.Millisecond)
 	h.report("agent-2", "r1", nil)
 	h.planAndCommit()
-	require.Equal(t, []string{"agent-1"}, h.taskAgents(0))
+	require.Equal(h.t, []string{"agent-1"}, h.taskAgents(0))
 	h.advance(2 * time.Millisecond)
 	h.planAndCommit()
-	require.Equal(t, []string{"agent-2"}, h.taskAgents(0))
-	require.EqualValues(t, 2, h.planner.findTask(id+".0.0.0").runNumber, "run numbers increase")
+	require.Equal(h.t, []string{"agent-2"}, h.taskAgents(0))
 }
 
 // Guards against runs that are never given up because the agent of a crashed executor goes on reporting: its reports
@@ -142,10 +154,7 @@
 	const id = testJobID
 	h := newHarness(t)
 	h.advance(time.Second)
-	h.report("agent-1", "r1", nil)
-	h.submit(singleTaskJob(id, "renders", "schools", 1))
-	h.planAndCommit()
-	h.report("agent-1", "r1", reportRunning(id+".0.0.0"))
+	h.startTestJob()
 	readAt := (h.now.BootTime - h.startedAt).Milliseconds()
 	reportSilence := func(report *cellpb.Report) {
 		reportRunning(id + ".0.0.0")(report)
